Start the workspace with shared types, settings, store, quorum, state, links and stand-ins

Cause: the repository was empty. Change: the bottom crates that every process leans on, compiled and not yet joined to processes.

--- /dev/null
+++ b/crates/pond-control/src/lib.rs
@@ -0,0 +1,1 @@
+//! pond-control.
--- /dev/null
+++ b/crates/pond-entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! pond-entry.
--- /dev/null
+++ b/crates/pond-http/src/call.rs
@@ -0,0 +1,65 @@
+//! Requests and answers with their whole bodies.
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
+
+/// A request with its whole body.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// The method.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+impl Call {
+    /// A request without headers.
+    pub fn new(method: Method, path: &str, body: impl Into<Bytes>) -> Call {
+        Call { method, path: path.to_owned(), headers: HeaderMap::new(), body: body.into() }
+    }
+
+    /// A header's value as text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).and_then(|value| value.to_str().ok())
+    }
+}
+
+/// An answer with its whole body.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+impl Reply {
+    /// An answer without headers.
+    pub fn new(status: StatusCode, body: impl Into<Bytes>) -> Reply {
+        Reply { status, headers: HeaderMap::new(), body: body.into() }
+    }
+
+    /// An answer in JSON.
+    pub fn json(status: StatusCode, value: &impl serde::Serialize) -> Reply {
+        let body = serde_json::to_vec(value).unwrap_or_default();
+        let json = HeaderValue::from_static("application/json");
+        Reply::new(status, body).with_header(header::CONTENT_TYPE, json)
+    }
+
+    /// Adds a header.
+    pub fn with_header(mut self, name: http::HeaderName, value: HeaderValue) -> Reply {
+        self.headers.insert(name, value);
+        self
+    }
+
+    /// A header's value as text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).and_then(|value| value.to_str().ok())
+    }
+}
--- /dev/null
+++ b/crates/pond-http/src/lib.rs
@@ -0,0 +1,19 @@
+//! HTTP/1.1 with limits, on hyper: a server for whole requests, and a client that knows whether a
+//! request was sent.
+//!
+//! Bodies are held whole in memory, at most as large as the limits say. A body that breaks off is
+//! an error, never a shorter body.
+
+mod call;
+mod client;
+mod error;
+mod json;
+mod server;
+
+pub use bytes::Bytes;
+pub use call::{Call, Reply};
+pub use client::Client;
+pub use error::Error;
+pub use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
+pub use json::{get_json, post_json};
+pub use server::{Handler, Limits, Refused, Stop, serve};
--- /dev/null
+++ b/crates/pond-http/src/server.rs
@@ -0,0 +1,182 @@
+//! A server for whole requests with limits.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
+use tokio::time::timeout;
+
+use crate::{Call, Reply};
+
+/// Limits on what a server takes in.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Open connections; more wait to be accepted.
+    pub connections: usize,
+    /// Time for the head of a request, and for its body.
+    pub read: Duration,
+    /// Largest body, in bytes.
+    pub body_bytes: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits { connections: 4096, read: Duration::from_secs(10), body_bytes: 1 << 20 }
+    }
+}
+
+/// Why a request was refused before the handler saw it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refused {
+    /// The body is too large.
+    TooLarge,
+    /// The body did not come in time.
+    TooSlow,
+    /// The body broke off.
+    CutOff,
+}
+
+impl Refused {
+    /// The status that goes with it.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Refused::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Refused::TooSlow => StatusCode::REQUEST_TIMEOUT,
+            Refused::CutOff => StatusCode::BAD_REQUEST,
+        }
+    }
+}
+
+/// Answers requests.
+pub trait Handler: Send + Sync + 'static {
+    /// Answers one request.
+    fn handle(&self, call: Call) -> Pin<Box<dyn Future<Output = Reply> + Send + '_>>;
+
+    /// Answers a request that was refused before it was whole.
+    fn refuse(&self, refused: Refused) -> Reply {
+        Reply::new(refused.status(), format!("{refused:?}\n"))
+    }
+}
+
+/// Tells a server to stop: it accepts no more, finishes what it has, and returns.
+#[derive(Clone, Debug)]
+pub struct Stop {
+    flag: watch::Sender<bool>,
+}
+
+impl Default for Stop {
+    fn default() -> Stop {
+        Stop::new()
+    }
+}
+
+impl Stop {
+    /// Not stopped yet.
+    pub fn new() -> Stop {
+        Stop { flag: watch::Sender::new(false) }
+    }
+
+    /// Stops everyone who waits for it.
+    pub fn stop(&self) {
+        self.flag.send_replace(true);
+    }
+
+    /// Whether it was stopped.
+    pub fn stopped(&self) -> bool {
+        *self.flag.borrow()
+    }
+
+    /// Waits until it is stopped.
+    pub async fn wait(&self) {
+        let mut receiver = self.flag.subscribe();
+        let _ = receiver.wait_for(|stopped| *stopped).await;
+    }
+}
+
+/// Serves until `stop`, then until every request that had arrived is answered.
+pub async fn serve(listener: TcpListener, limits: Limits, stop: Stop, handler: Arc<dyn Handler>) {
+    let room = Arc::new(Semaphore::new(limits.connections));
+    loop {
+        let permit = tokio::select! {
+            permit = room.clone().acquire_owned() => permit,
+            () = stop.wait() => break,
+        };
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.wait() => break,
+        };
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        let (stop, handler) = (stop.clone(), handler.clone());
+        tokio::spawn(async move {
+            serve_one(stream, limits, stop, handler).await;
+            drop(permit);
+        });
+    }
+    drop(listener);
+    // All permits are free once all connections have ended.
+    let _ = room.acquire_many(limits.connections as u32).await;
+}
+
+async fn serve_one(stream: TcpStream, limits: Limits, stop: Stop, handler: Arc<dyn Handler>) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let handler = handler.clone();
+        async move { Ok::<_, Infallible>(answer(request, limits, handler.as_ref()).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.read)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    tokio::select! {
+        _ = connection.as_mut() => {}
+        () = stop.wait() => {
+            connection.as_mut().graceful_shutdown();
+            let _ = connection.await;
+        }
+    }
+}
+
+async fn answer(
+    request: Request<Incoming>,
+    limits: Limits,
+    handler: &dyn Handler,
+) -> Response<Full<Bytes>> {
+    let (parts, body) = request.into_parts();
+    let reply = match read_body(body, limits).await {
+        Ok(body) => {
+            let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
+            let call = Call { method: parts.method, path, headers: parts.headers, body };
+            handler.handle(call).await
+        }
+        Err(refused) => handler.refuse(refused),
+    };
+    let mut response = Response::new(Full::new(reply.body));
+    *response.status_mut() = reply.status;
+    *response.headers_mut() = reply.headers;
+    response
+}
+
+async fn read_body(body: Incoming, limits: Limits) -> Result<Bytes, Refused> {
+    let whole = Limited::new(body, limits.body_bytes).collect();
+    match timeout(limits.read, whole).await {
+        Err(_) => Err(Refused::TooSlow),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refused::TooLarge),
+        Ok(Err(_)) => Err(Refused::CutOff),
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+    }
+}
--- /dev/null
+++ b/crates/pond-platform/src/lib.rs
@@ -0,0 +1,15 @@
+//! What the platform gives: the VM list, the workers, and usage reports.
+//!
+//! The traits are the border; [`HttpPlatform`] is their HTTP/JSON binding, described for those who
+//! write the other side in `docs/contracts/platform.md`.
+
+mod border;
+mod http;
+mod message;
+
+pub use border::{Answer, Error, Platform};
+pub use http::HttpPlatform;
+pub use message::{
+    Checkpoint, Ending, Lease, LeaseAnswer, Refusal, RefusalCode, Report, Stamp, Start, StartAnswer, Stop,
+    StopAnswer, TaskState, TaskStatus, Throttle, Usage, VmList,
+};
--- /dev/null
+++ b/crates/pond-proto/src/lib.rs
@@ -0,0 +1,26 @@
+//! Shared types of every pondbay process.
+//!
+//! The bottom crate: it depends on no other pondbay crate, does no I/O and reads no clock.
+
+mod key;
+mod label;
+mod outcome;
+mod selector;
+mod size;
+mod time;
+mod unit;
+mod vm;
+
+pub mod audit;
+pub mod quorum;
+pub mod view;
+pub mod wire;
+
+pub use key::{Life, TaskKey, VmKey};
+pub use label::Labels;
+pub use outcome::Outcome;
+pub use selector::{Operator, Selector, Term};
+pub use size::Size;
+pub use time::{Millis, Span};
+pub use unit::{Job, Kind, Service, Unit, UnitName};
+pub use vm::{Presence, Vm};
--- /dev/null
+++ b/crates/pond-proto/src/size.rs
@@ -0,0 +1,63 @@
+//! How much of a VM something takes or has.
+
+use std::fmt;
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+/// An amount of processors, memory and accelerators.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize, JsonSchema,
+)]
+pub struct Size {
+    /// Thousandths of a processor.
+    pub milli_cpu: u32,
+    /// Memory in MiB.
+    pub memory_mib: u32,
+    /// Whole accelerators.
+    #[serde(default)]
+    pub accelerators: u32,
+}
+
+impl Size {
+    /// An amount of all three.
+    pub fn new(milli_cpu: u32, memory_mib: u32, accelerators: u32) -> Size {
+        Size { milli_cpu, memory_mib, accelerators }
+    }
+
+    /// Whether all three fit into `room`.
+    pub fn fits(self, room: Size) -> bool {
+        self.milli_cpu <= room.milli_cpu
+            && self.memory_mib <= room.memory_mib
+            && self.accelerators <= room.accelerators
+    }
+
+    /// Both amounts together.
+    pub fn plus(self, other: Size) -> Size {
+        Size {
+            milli_cpu: self.milli_cpu.saturating_add(other.milli_cpu),
+            memory_mib: self.memory_mib.saturating_add(other.memory_mib),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+
+    /// What is left after taking `other`; never below zero.
+    pub fn minus(self, other: Size) -> Size {
+        Size {
+            milli_cpu: self.milli_cpu.saturating_sub(other.milli_cpu),
+            memory_mib: self.memory_mib.saturating_sub(other.memory_mib),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+}
+
+impl fmt::Display for Size {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let cpu = f64::from(self.milli_cpu) / 1000.0;
+        write!(f, "{cpu} processors, {} MiB", self.memory_mib)?;
+        if self.accelerators > 0 {
+            write!(f, ", {} accelerators", self.accelerators)?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/pond-quorum/src/leader.rs
@@ -0,0 +1,445 @@
+//! Leading: replication, commit, reads, members, handing over.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use pond_proto::Millis;
+use pond_proto::quorum::{
+    Append, AppendTell, Body, Chunk, ChunkTell, Kind, Member, Members, TakeOver,
+};
+use prost::Message;
+
+use crate::core::{Core, State};
+use crate::io::{Output, Rejection, Ticket};
+use crate::progress::Progress;
+
+/// A read that waits for a majority to confirm the leader.
+#[derive(Debug)]
+struct Read {
+    ticket: Ticket,
+    index: u64,
+    round: u64,
+}
+
+/// What a leader keeps.
+#[derive(Debug)]
+pub(crate) struct Leading {
+    progress: BTreeMap<u64, Progress>,
+    first_index: u64,
+    round: u64,
+    /// When each round that is not yet answered by all was sent.
+    rounds: VecDeque<(u64, Millis)>,
+    reads: VecDeque<Read>,
+    beat: Millis,
+    since: Millis,
+    handover: Option<(u64, Millis)>,
+}
+
+impl Leading {
+    pub(crate) fn handing_over(&self) -> bool {
+        self.handover.is_some()
+    }
+}
+
+/// Rounds whose sending time is kept.
+const ROUNDS_KEPT: usize = 4096;
+
+impl Core {
+    pub(crate) fn become_leader(&mut self, now: Millis) {
+        let last = self.log.last_index();
+        let others = self.lists.current().list.iter().filter(|member| member.id != self.id);
+        let progress = others.map(|member| (member.id, Progress::new(last))).collect();
+        self.leader = Some(self.id);
+        self.state = State::Leader(Leading {
+            progress,
+            first_index: last + 1,
+            round: 0,
+            rounds: VecDeque::new(),
+            reads: VecDeque::new(),
+            beat: now,
+            since: now,
+            handover: None,
+        });
+        // The members go into the log with the first entry, so that all replicas agree on them.
+        let members = self.lists.current().encode_to_vec();
+        let _ = self.propose(Kind::Members, members);
+        self.outputs.push(Output::RoleChanged);
+        self.broadcast(now);
+    }
+
+    /// Whether this replica leads and has committed an entry of its own term.
+    pub fn ready(&self) -> bool {
+        match &self.state {
+            State::Leader(leading) => self.commit >= leading.first_index,
+            _ => false,
+        }
+    }
+
+    /// Until when no other replica can lead, on this replica's clock; none if it does not lead.
+    ///
+    /// A majority heard from this leader at the time behind it and elects nobody for a while.
+    pub fn lease_until(&self) -> Option<Millis> {
+        let State::Leader(leading) = &self.state else { return None };
+        if leading.handing_over() {
+            return None;
+        }
+        Some(self.majority_heard()? + self.lease_span())
+    }
+
+    /// The latest time at which a majority, this replica among it, still followed.
+    fn majority_heard(&self) -> Option<Millis> {
+        let State::Leader(leading) = &self.state else { return None };
+        let members = self.lists.current();
+        let heard = |id| match leading.progress.get(&id) {
+            Some(progress) => progress.heard,
+            None if id == self.id => Millis(u64::MAX),
+            None => Millis(0),
+        };
+        let mut times: Vec<Millis> = members.voters().map(heard).collect();
+        times.sort_unstable_by(|a, b| b.cmp(a));
+        let decisive = times.get(members.majority() - 1).copied()?;
+        Some(if decisive == Millis(u64::MAX) { Millis(u64::MAX / 2) } else { decisive })
+    }
+
+    pub(crate) fn tick_leader(&mut self, now: Millis) {
+        let patience = self.tuning.election_ms * 2;
+        let heard = self.majority_heard().unwrap_or(now);
+        let State::Leader(leading) = &mut self.state else { return };
+        if now.since(heard) > patience && now.since(leading.since) > patience {
+            self.become_follower(now, self.hard.term, None);
+            return;
+        }
+        if leading.handover.is_some_and(|(_, until)| now >= until) {
+            // The request may still be under way, so this term's lease cannot be trusted again.
+            self.become_follower(now, self.hard.term, None);
+            return;
+        }
+        if now.since(leading.beat) >= self.tuning.heartbeat_ms {
+            self.broadcast(now);
+        }
+        self.promote();
+    }
+
+    /// Starts a new round of heartbeats.
+    fn broadcast(&mut self, now: Millis) {
+        let State::Leader(leading) = &mut self.state else { return };
+        leading.round += 1;
+        leading.beat = now;
+        leading.rounds.push_back((leading.round, now));
+        if leading.rounds.len() > ROUNDS_KEPT {
+            leading.rounds.pop_front();
+        }
+        let ids: Vec<u64> = leading.progress.keys().copied().collect();
+        for id in ids {
+            self.send_heartbeat(now, id);
+        }
+    }
+
+    fn send_heartbeat(&mut self, now: Millis, to: u64) {
+        let election_ms = self.tuning.election_ms;
+        let State::Leader(leading) = &mut self.state else { return };
+        let round = leading.round;
+        let Some(progress) = leading.progress.get_mut(&to) else { return };
+        // Lost answers must not keep the window closed for ever.
+        if progress.in_flight > 0 && now.since(progress.sent) > election_ms {
+            progress.in_flight = 0;
+            progress.next = progress.matched + 1;
+            progress.probing = true;
+        }
+        let stalled = progress.snapshot.is_some() && now.since(progress.sent) > election_ms;
+        let previous = match (progress.snapshot, progress.probing) {
+            (Some(_), _) => 0,
+            (None, true) => progress.next - 1,
+            (None, false) => progress.matched,
+        };
+        // Where the entry is gone, a heartbeat from the very start fits every log.
+        let (previous, term) = self.log.term(previous).map_or((0, 0), |term| (previous, term));
+        if stalled {
+            self.send_chunk(now, to);
+        }
+        let append = Append {
+            previous_index: previous,
+            previous_term: term,
+            entries: Vec::new(),
+            commit: self.commit,
+            round,
+        };
+        self.send(to, Body::Append(append));
+    }
+
+    /// Sends entries that have not been sent, as far as the windows allow.
+    pub(crate) fn flush(&mut self, now: Millis) {
+        let State::Leader(leading) = &mut self.state else { return };
+        let waiting = leading.reads.back().is_some_and(|read| read.round > leading.round);
+        if waiting {
+            self.broadcast(now);
+        }
+        let State::Leader(leading) = &mut self.state else { return };
+        let ids: Vec<u64> = leading.progress.keys().copied().collect();
+        for id in ids {
+            while self.send_entries(now, id) {}
+        }
+    }
+
+    /// Sends one append with entries; false when there is none to send now.
+    fn send_entries(&mut self, now: Millis, to: u64) -> bool {
+        let window = self.tuning.in_flight;
+        let last = self.log.last_index();
+        let State::Leader(leading) = &mut self.state else { return false };
+        let round = leading.round;
+        let Some(progress) = leading.progress.get_mut(&to) else { return false };
+        let window = if progress.probing { 1 } else { window };
+        if progress.next > last || progress.in_flight >= window || progress.snapshot.is_some() {
+            return false;
+        }
+        let previous = progress.next - 1;
+        let Some(previous_term) = self.log.term(previous) else {
+            self.send_chunk(now, to);
+            return false;
+        };
+        let entries = self.log.range(progress.next, last, self.tuning.append_bytes);
+        if !progress.probing {
+            progress.next += entries.len() as u64;
+        }
+        progress.in_flight += 1;
+        progress.sent = now;
+        let append = Append {
+            previous_index: previous,
+            previous_term,
+            entries,
+            commit: self.commit,
+            round,
+        };
+        self.send(to, Body::Append(append));
+        true
+    }
+
+    pub(crate) fn append_tell(&mut self, now: Millis, from: u64, tell: AppendTell) {
+        self.answered(from, tell.round);
+        let last = self.log.last_index();
+        let State::Leader(leading) = &mut self.state else { return };
+        let Some(progress) = leading.progress.get_mut(&from) else { return };
+        progress.in_flight = progress.in_flight.saturating_sub(1);
+        if tell.fitted {
+            progress.matched_to(tell.index.min(last));
+            self.advance_commit(now);
+            self.hand_over_if_ready(from);
+        } else if tell.index < progress.next {
+            // Goes back to the last index at which the follower's term can be the leader's.
+            let at = self.log.last_at_most(tell.index, tell.hint_term);
+            progress.next = at.max(progress.matched) + 1;
+            progress.probing = true;
+            progress.in_flight = 0;
+        }
+        self.confirm_reads();
+    }
+
+    /// Takes note that a follower answered a round.
+    fn answered(&mut self, from: u64, round: u64) {
+        let State::Leader(leading) = &mut self.state else { return };
+        let Some(progress) = leading.progress.get_mut(&from) else { return };
+        if round <= progress.round {
+            return;
+        }
+        progress.round = round;
+        let sent = leading.rounds.iter().find(|(number, _)| *number == round);
+        if let Some((_, sent)) = sent {
+            progress.heard = progress.heard.max(*sent);
+        }
+    }
+
+    pub(crate) fn advance_commit(&mut self, now: Millis) {
+        let State::Leader(leading) = &self.state else { return };
+        let members = self.lists.current();
+        let matched = |id| match leading.progress.get(&id) {
+            Some(progress) => progress.matched,
+            None if id == self.id => self.persisted,
+            None => 0,
+        };
+        let mut indexes: Vec<u64> = members.voters().map(matched).collect();
+        indexes.sort_unstable_by(|a, b| b.cmp(a));
+        let Some(decisive) = indexes.get(members.majority() - 1).copied() else { return };
+        // Only entries of the own term are counted; older ones are committed with them.
+        if decisive <= self.commit || self.log.term(decisive) != Some(self.hard.term) {
+            return;
+        }
+        self.commit = decisive;
+        self.left_if_removed(now);
+    }
+
+    fn left_if_removed(&mut self, now: Millis) {
+        let gone = self.lists.current().get(self.id).is_none();
+        if gone && self.lists.index() <= self.commit {
+            self.become_follower(now, self.hard.term, None);
+        }
+    }
+
+    fn send_chunk(&mut self, now: Millis, to: u64) {
+        let Some(image) = self.snapshot.clone() else { return };
+        let size = self.tuning.chunk_bytes;
+        let State::Leader(leading) = &mut self.state else { return };
+        let round = leading.round;
+        let Some(progress) = leading.progress.get_mut(&to) else { return };
+        let offset = match progress.snapshot {
+            Some((index, have)) if index == image.head.index => have,
+            _ => 0,
+        };
+        progress.snapshot = Some((image.head.index, offset));
+        progress.sent = now;
+        let start = (offset as usize).min(image.data.len());
+        let end = (start + size).min(image.data.len());
+        let chunk = Chunk {
+            index: image.head.index,
+            term: image.head.term,
+            members: image.head.members.clone(),
+            offset,
+            total: image.data.len() as u64,
+            crc: crc32c::crc32c(&image.data),
+            data: image.data[start..end].to_vec(),
+            round,
+        };
+        self.send(to, Body::Chunk(chunk));
+    }
+
+    pub(crate) fn chunk_tell(&mut self, now: Millis, from: u64, tell: ChunkTell) {
+        self.answered(from, tell.round);
+        let total = self.snapshot.as_ref().map_or(0, |image| image.data.len() as u64);
+        let State::Leader(leading) = &mut self.state else { return };
+        let Some(progress) = leading.progress.get_mut(&from) else { return };
+        let Some((index, _)) = progress.snapshot else { return };
+        if index != tell.index {
+            return;
+        }
+        if tell.have >= total {
+            progress.snapshot = None;
+            progress.in_flight = 0;
+            progress.matched_to(index);
+            progress.next = progress.matched + 1;
+            self.advance_commit(now);
+        } else if progress.snapshot != Some((index, tell.have)) {
+            progress.snapshot = Some((index, tell.have));
+            self.send_chunk(now, from);
+        }
+        self.confirm_reads();
+    }
+
+    pub(crate) fn read(&mut self, ticket: Ticket) {
+        if !self.ready() {
+            let leads = matches!(self.state, State::Leader(_));
+            let rejection = if leads { Rejection::NotReady } else { Rejection::NotLeader };
+            self.outputs.push(Output::Rejected { ticket, rejection });
+            return;
+        }
+        let index = self.commit;
+        if let State::Leader(leading) = &mut self.state {
+            // Reads of one step share the round that `flush` starts.
+            let round = leading.round + 1;
+            leading.reads.push_back(Read { ticket, index, round });
+        }
+        self.confirm_reads();
+    }
+
+    /// Hands out the reads whose round a majority has answered.
+    fn confirm_reads(&mut self) {
+        let members = self.lists.current();
+        let State::Leader(leading) = &mut self.state else { return };
+        let own = members.votes(self.id);
+        while let Some(read) = leading.reads.front() {
+            let answered =
+                |id: &u64| leading.progress.get(id).is_some_and(|p| p.round >= read.round);
+            let count = members.voters().filter(answered).count() + usize::from(own);
+            if count < members.majority() {
+                return;
+            }
+            let Read { ticket, index, .. } = *read;
+            leading.reads.pop_front();
+            self.outputs.push(Output::ReadReady { ticket, index });
+        }
+    }
+
+    pub(crate) fn fail_reads(&mut self) {
+        let State::Leader(leading) = &mut self.state else { return };
+        for read in leading.reads.drain(..) {
+            let rejection = Rejection::NotLeader;
+            self.outputs.push(Output::Rejected { ticket: read.ticket, rejection });
+        }
+    }
+
+    pub(crate) fn hand_over(&mut self, now: Millis) {
+        let until = now + self.tuning.election_ms * 2;
+        let State::Leader(leading) = &mut self.state else { return };
+        let members = self.lists.current();
+        let voters = leading.progress.iter().filter(|(id, _)| members.votes(**id));
+        let best = voters.max_by_key(|(_, progress)| (progress.matched, progress.heard));
+        let Some(best) = best.map(|(id, _)| *id) else { return };
+        leading.handover = Some((best, until));
+        self.hand_over_if_ready(best);
+    }
+
+    fn hand_over_if_ready(&mut self, id: u64) {
+        let last = self.log.last_index();
+        let State::Leader(leading) = &self.state else { return };
+        let chosen = leading.handover.is_some_and(|(chosen, _)| chosen == id);
+        let caught_up = leading.progress.get(&id).is_some_and(|p| p.matched == last);
+        if chosen && caught_up {
+            self.send(id, Body::TakeOver(TakeOver {}));
+        }
+    }
+
+    /// Whether a change of members may be proposed: none is open, and the leader is ready.
+    fn members_settled(&self) -> bool {
+        self.ready() && self.lists.index() <= self.commit
+    }
+
+    fn propose_members(&mut self, members: Members) {
+        if self.propose(Kind::Members, members.encode_to_vec()).is_err() {
+            return;
+        }
+        let last = self.log.last_index();
+        let State::Leader(leading) = &mut self.state else { return };
+        leading.progress.retain(|id, _| members.get(*id).is_some());
+        for member in members.list.iter().filter(|member| member.id != self.id) {
+            leading.progress.entry(member.id).or_insert_with(|| Progress::new(last));
+        }
+    }
+
+    pub(crate) fn add(&mut self, member: Member) {
+        if !self.members_settled() || self.lists.current().get(member.id).is_some() {
+            return;
+        }
+        let mut list = self.lists.current().list.clone();
+        list.push(Member { voter: false, ..member });
+        self.propose_members(Members::new(list));
+    }
+
+    pub(crate) fn remove(&mut self, id: u64) {
+        if !self.members_settled() || self.lists.current().get(id).is_none() {
+            return;
+        }
+        let mut list = self.lists.current().list.clone();
+        list.retain(|member| member.id != id);
+        if list.iter().any(|member| member.voter) {
+            self.propose_members(Members::new(list));
+        }
+    }
+
+    /// Lets one learner vote that has caught up.
+    fn promote(&mut self) {
+        if !self.members_settled() {
+            return;
+        }
+        let last = self.log.last_index();
+        let caught_up = self.tuning.caught_up;
+        let State::Leader(leading) = &self.state else { return };
+        let ready = |member: &&Member| {
+            let progress = leading.progress.get(&member.id);
+            progress.is_some_and(|p| p.matched > 0 && p.matched + caught_up >= last)
+        };
+        let learners = self.lists.current().list.iter().filter(|member| !member.voter);
+        let Some(id) = learners.filter(ready).map(|member| member.id).next() else { return };
+        let mut list = self.lists.current().list.clone();
+        for member in &mut list {
+            member.voter |= member.id == id;
+        }
+        self.propose_members(Members::new(list));
+    }
+}
--- /dev/null
+++ b/crates/pond-quorum/src/lib.rs
@@ -0,0 +1,20 @@
+//! The quorum: a replicated log as a pure state machine.
+//!
+//! [`Core`] is given the time and one [`Input`] at a time and hands out [`Output`]s. It does no
+//! I/O, reads no clock and draws its random numbers from a seed. Elections have a pre-vote, and a
+//! replica that hears from a leader refuses to elect another; a leader that hears from no
+//! majority steps down.
+
+mod core;
+mod election;
+mod follower;
+mod io;
+mod leader;
+mod log;
+mod members;
+mod progress;
+mod tuning;
+
+pub use crate::core::{Core, Role, Start};
+pub use io::{Input, Output, Rejection, SnapshotImage, Ticket};
+pub use tuning::Tuning;
--- /dev/null
+++ b/crates/pond-settings/src/lib.rs
@@ -0,0 +1,78 @@
+//! Settings, unit and installation files in YAML.
+//!
+//! A file is read into a tree that keeps the place of every value, then into typed structs.
+//! All that is wrong with it is reported together, each finding with line, column, what is wrong
+//! and what to write instead. Nothing of a bad file is used.
+
+mod error;
+mod finding;
+mod installation;
+mod process;
+mod reader;
+mod tree;
+mod unit_file;
+
+pub use error::Error;
+pub use finding::{Finding, Findings};
+pub use installation::{DataCentre, Installation, VmGroup};
+pub use process::{
+    Control, EndpointProcess, Entry, Lease, Limits, Listen, Log, LogFormat, Metrics, Process,
+    Replica, Role,
+};
+pub use reader::Reader;
+pub use tree::{Node, Value};
+pub use unit_file::parse as parse_units;
+
+use std::fs;
+use std::path::Path;
+
+use pond_proto::Unit;
+
+/// What a file turned out to be.
+#[derive(Clone, Debug)]
+pub enum File {
+    /// Settings of one process.
+    Process(Process),
+    /// A whole small installation for `pondbay local`.
+    Installation(Installation),
+    /// Units for `pondbay apply`.
+    Units(Vec<Unit>),
+}
+
+/// Reads a file of any kind; the kind is told by its first keys.
+///
+/// # Errors
+/// [`Error::Read`] if the file cannot be read, [`Error::Bad`] with every finding otherwise.
+pub fn load(path: &Path) -> Result<File, Error> {
+    let name = path.display().to_string();
+    let text = fs::read_to_string(path).map_err(|source| Error::read(&name, source))?;
+    parse(&name, &text)
+}
+
+/// Reads the text of a file of any kind; `name` goes into the findings.
+///
+/// # Errors
+/// [`Error::Bad`] with every finding.
+pub fn parse(name: &str, text: &str) -> Result<File, Error> {
+    let findings = Findings::new(name);
+    let Some(root) = tree::parse(text, &findings) else {
+        return Err(Error::bad(findings));
+    };
+    let reader = Reader::new(&root, &findings);
+    let file = if reader.has("role") {
+        File::Process(process::read(&reader))
+    } else if reader.has("installation") {
+        File::Installation(installation::read(&reader))
+    } else if reader.has("units") {
+        File::Units(unit_file::read(&reader))
+    } else {
+        findings.add(
+            root.place,
+            "this is no pondbay file",
+            "start it with 'role:' (settings), 'installation:' (local) or 'units:' (apply)",
+        );
+        return Err(Error::bad(findings));
+    };
+    reader.finish();
+    if findings.is_empty() { Ok(file) } else { Err(Error::bad(findings)) }
+}
--- /dev/null
+++ b/crates/pond-state/src/lib.rs
@@ -0,0 +1,29 @@
+//! The replicated state: VMs, units, tasks, claims, configuration and audit trail.
+//!
+//! [`State::apply`] is the only way to change it. It is deterministic: the same changes in the
+//! same order give the same bytes on every replica. Time comes in with the changes. Every rule
+//! that a promise leans on is checked here, whatever the scheduler or an operator proposed.
+
+mod change;
+mod claims;
+mod decision;
+mod operate;
+mod place;
+mod reply;
+mod state;
+mod task;
+mod trail;
+mod unit;
+mod views;
+mod vm;
+
+pub use change::{Change, End, Meta, Order, Target};
+pub use claims::{Claims, Holder, KeptAnswer};
+pub use decision::{Action, Decision};
+pub use reply::{Decided, Refusal, Reply};
+pub use state::State;
+pub use task::{Phase, Task};
+pub use trail::Trail;
+pub use unit::{Resume, Standing, UnitRecord};
+pub use views::Views;
+pub use vm::{Liveness, VmRecord};
--- /dev/null
+++ b/crates/pond-store/src/memory.rs
@@ -0,0 +1,180 @@
+//! A disk in memory that can lose what was not synced.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use crate::Disk;
+
+/// One file: its bytes, and how many of them last.
+#[derive(Clone, Debug, Default)]
+struct Stored {
+    bytes: Vec<u8>,
+    synced: usize,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Inner {
+    files: BTreeMap<String, Stored>,
+    /// Names that last; `None` is a removal that was not synced.
+    lasting: BTreeMap<String, Stored>,
+    capacity: Option<usize>,
+    sync_lies: bool,
+}
+
+/// A disk in memory for tests and models of failure.
+///
+/// Clones share the files, so that a test can crash the disk under a store and open it again.
+#[derive(Clone, Debug, Default)]
+pub struct Memory {
+    inner: Arc<Mutex<Inner>>,
+}
+
+/// What a crash leaves of bytes that were not synced.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Crash {
+    /// Nothing of them.
+    DropUnsynced,
+    /// All of them, as when only the process died.
+    KeepAll,
+    /// This many bytes of each file's part that was not synced.
+    KeepBytes(usize),
+}
+
+impl Memory {
+    /// An empty disk.
+    pub fn new() -> Memory {
+        Memory::default()
+    }
+
+    /// A disk that is full when its files hold `bytes` together.
+    pub fn with_capacity(bytes: usize) -> Memory {
+        let memory = Memory::new();
+        memory.inner().capacity = Some(bytes);
+        memory
+    }
+
+    /// Makes `sync` answer without doing anything, to show that checks notice.
+    pub fn lie_about_sync(&self) {
+        self.inner().sync_lies = true;
+    }
+
+    /// Changes the capacity, in bytes.
+    pub fn set_capacity(&self, bytes: Option<usize>) {
+        self.inner().capacity = bytes;
+    }
+
+    /// Crashes: unsynced bytes and names are treated as `crash` says.
+    pub fn crash(&self, crash: Crash) {
+        let mut inner = self.inner();
+        if crash == Crash::KeepAll {
+            return;
+        }
+        if crash == Crash::DropUnsynced {
+            inner.files = inner.lasting.clone();
+        }
+        for file in inner.files.values_mut() {
+            let keep = match crash {
+                Crash::KeepBytes(more) => file.synced + more,
+                _ => file.synced,
+            };
+            file.bytes.truncate(keep);
+            file.synced = file.bytes.len();
+        }
+        inner.lasting = inner.files.clone();
+    }
+
+    /// Changes one byte of a file.
+    pub fn damage(&self, name: &str, offset: usize) {
+        if let Some(byte) =
+            self.inner().files.get_mut(name).and_then(|file| file.bytes.get_mut(offset))
+        {
+            *byte ^= 0x5a;
+        }
+    }
+
+    /// A second disk with the same content.
+    pub fn copy(&self) -> Memory {
+        let inner = self.inner().clone();
+        Memory { inner: Arc::new(Mutex::new(inner)) }
+    }
+
+    fn inner(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn missing(name: &str) -> io::Error {
+    io::Error::new(io::ErrorKind::NotFound, name.to_owned())
+}
+
+impl Disk for Memory {
+    fn list(&self) -> io::Result<Vec<String>> {
+        Ok(self.inner().files.keys().cloned().collect())
+    }
+
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        let inner = self.inner();
+        inner.files.get(name).map(|file| file.bytes.clone()).ok_or_else(|| missing(name))
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        let mut inner = self.inner();
+        let used: usize = inner.files.values().map(|file| file.bytes.len()).sum();
+        let room = inner.capacity.map_or(usize::MAX, |capacity| capacity.saturating_sub(used));
+        let taken = bytes.len().min(room);
+        let file = inner.files.entry(name.to_owned()).or_default();
+        file.bytes.extend_from_slice(&bytes[..taken]);
+        if taken < bytes.len() {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        Ok(())
+    }
+
+    fn truncate(&mut self, name: &str, length: u64) -> io::Result<()> {
+        let mut inner = self.inner();
+        let file = inner.files.get_mut(name).ok_or_else(|| missing(name))?;
+        file.bytes.truncate(length as usize);
+        file.synced = file.synced.min(file.bytes.len());
+        Ok(())
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        let mut inner = self.inner();
+        if inner.sync_lies {
+            return Ok(());
+        }
+        let file = inner.files.get_mut(name).ok_or_else(|| missing(name))?;
+        file.synced = file.bytes.len();
+        let copy = file.clone();
+        if let Some(lasting) = inner.lasting.get_mut(name) {
+            *lasting = copy;
+        }
+        Ok(())
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        let mut inner = self.inner();
+        let file = inner.files.remove(from).ok_or_else(|| missing(from))?;
+        inner.files.insert(to.to_owned(), file);
+        Ok(())
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        let removed = self.inner().files.remove(name);
+        removed.map(|_| ()).ok_or_else(|| missing(name))
+    }
+
+    fn sync_names(&mut self) -> io::Result<()> {
+        let mut inner = self.inner();
+        if inner.sync_lies {
+            return Ok(());
+        }
+        let mut lasting = inner.files.clone();
+        for file in lasting.values_mut() {
+            file.bytes.truncate(file.synced);
+        }
+        inner.lasting = lasting;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The pondbay binary.
+
+fn main() {}
