Join the crates to processes: a request is answered and a job runs

Cause: the crates stood side by side and nothing ran. Change: the control replica, the entry and the endpoint process as threads around the pure cores, the operators' API and the command line, and 'local', which starts all of it on loopback with a quorum of three.

--- /dev/null
+++ b/crates/pond-command/src/command/describe.rs
@@ -0,0 +1,75 @@
+//! `pondbay describe`.
+
+use pond_proto::Kind;
+use pond_proto::operator::UnitShown;
+
+use super::get::tasks;
+use crate::{Call, Client, Command, Error, Example, Exit, Out, Signature};
+
+/// Shows one unit.
+pub struct Describe;
+
+impl Command for Describe {
+    fn name(&self) -> &'static str {
+        "describe"
+    }
+
+    fn signature(&self) -> Signature {
+        Signature::new().with_arguments("UNIT", 1, 1).with_control_flags()
+    }
+
+    fn description(&self) -> &'static str {
+        "Shows a unit as it was described, with its tasks."
+    }
+
+    fn examples(&self) -> Vec<Example> {
+        vec![Example::with_control("describe counter-query", "Show a service", "selector:")]
+    }
+
+    fn run(&self, call: &Call, out: &mut Out<'_>) -> Result<Exit, Error> {
+        let path = format!("/v1/units/{}", call.arguments[0]);
+        let shown: UnitShown = Client::from_call(call)?.get(&path)?;
+        if call.switch("json") {
+            return out.json(&shown).map(|()| Exit::WELL);
+        }
+        lines(&shown).iter().try_for_each(|line| out.line(line))?;
+        tasks(&shown.tasks).lines().iter().try_for_each(|line| out.line(line))?;
+        Ok(Exit::WELL)
+    }
+}
+
+fn lines(shown: &UnitShown) -> Vec<String> {
+    let unit = &shown.unit;
+    let labels: Vec<String> =
+        unit.labels.iter().map(|(key, value)| format!("{key}={value}")).collect();
+    let kind = match &unit.kind {
+        Kind::Service(service) => format!(
+            "service: {} replicas, {} slots, {} connections",
+            service.replicas, service.slots, service.connections
+        ),
+        Kind::Job(job) => format!("job: {} s, {} retries", job.run_ms / 1000, job.retries),
+    };
+    let optional = |selector: &Option<pond_proto::Selector>| {
+        selector.as_ref().map_or("-".to_owned(), ToString::to_string)
+    };
+    let mut lines = vec![
+        format!("unit:          {} (version {})", unit.name, shown.row.version),
+        format!("standing:      {}", shown.row.standing),
+        kind,
+        format!("size:          {}", unit.size),
+        format!("priority:      {}, team {}", unit.priority, unit.team),
+        format!("labels:        {}", labels.join(" ")),
+        format!("selector:      {}", unit.selector),
+        format!("affinity:      {}", optional(&unit.affinity)),
+        format!("anti-affinity: {}", optional(&unit.anti_affinity)),
+        format!("program:       {}", unit.program),
+    ];
+    if let Some(reason) = &shown.reason {
+        lines.push(format!("failed:        {reason}"));
+    }
+    if let Some((attempt, checkpoint)) = shown.resume {
+        lines.push(format!("to resume:     run {attempt} from checkpoint {checkpoint}"));
+    }
+    lines.push(String::new());
+    lines
+}
--- /dev/null
+++ b/crates/pond-command/src/command/mod.rs
@@ -0,0 +1,50 @@
+//! The commands.
+
+mod apply;
+mod audit;
+mod cancel;
+mod check;
+mod describe;
+mod docs;
+mod drain;
+mod explain;
+mod get;
+mod help;
+mod label;
+mod local;
+mod quota;
+mod role;
+mod status;
+mod version;
+
+use crate::{Command, Error, Exit, Out};
+
+/// All commands, in the order of the help.
+pub const ALL: &[&dyn Command] = &[
+    &local::Local,
+    &check::Check,
+    &role::Control,
+    &role::Entry,
+    &role::Endpoint,
+    &apply::Apply,
+    &get::Get,
+    &describe::Describe,
+    &explain::Explain,
+    &label::Label,
+    &drain::Drain,
+    &cancel::Cancel,
+    &quota::Quota,
+    &status::Status,
+    &audit::Audit,
+    &docs::Docs,
+    &help::Help,
+    &version::Version,
+];
+
+/// Prints the help of one command.
+///
+/// # Errors
+/// If it cannot be written.
+pub fn help_for(command: &dyn Command, out: &mut Out<'_>) -> Result<Exit, Error> {
+    help::one(command, out)
+}
--- /dev/null
+++ b/crates/pond-command/src/interrupt.rs
@@ -0,0 +1,23 @@
+//! Waits for Ctrl-C or SIGTERM.
+
+use pond_process::Error;
+use tokio::runtime::Builder;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Waits until the process is asked to stop.
+///
+/// # Errors
+/// If the system does not let signals be waited for.
+pub fn wait() -> Result<(), Error> {
+    let failed = |source| Error::Thread { source };
+    let runtime = Builder::new_current_thread().enable_all().build().map_err(failed)?;
+    runtime.block_on(async {
+        let mut interrupt = signal(SignalKind::interrupt()).map_err(failed)?;
+        let mut terminate = signal(SignalKind::terminate()).map_err(failed)?;
+        tokio::select! {
+            _ = interrupt.recv() => {}
+            _ = terminate.recv() => {}
+        }
+        Ok(())
+    })
+}
--- /dev/null
+++ b/crates/pond-control/src/operator/mod.rs
@@ -0,0 +1,9 @@
+//! The operators' HTTP API.
+
+mod api;
+mod ask;
+mod show;
+mod token;
+
+pub use api::{Api, openapi, start};
+pub use token::Tokens;
--- /dev/null
+++ b/crates/pond-control/src/operator/show.rs
@@ -0,0 +1,96 @@
+//! Turns the state into what operators are shown.
+
+use pond_proto::operator::{DecisionRow, TaskRow, UnitRow, UnitShown, VmRow};
+use pond_state::{Decision, Phase, Standing, State, Task, UnitRecord, VmRecord};
+
+/// The row of a unit.
+pub fn unit_row(state: &State, record: &UnitRecord) -> UnitRow {
+    let tasks = record.tasks.values().filter_map(|key| state.task(*key));
+    let running = tasks.filter(|task| task.phase != Phase::Starting).count();
+    let unit = &record.unit;
+    UnitRow {
+        name: unit.name.clone(),
+        kind: if unit.service().is_some() { "service" } else { "job" }.to_owned(),
+        team: unit.team.clone(),
+        priority: unit.priority,
+        standing: standing(record),
+        running: running as u32,
+        wanted: if record.ended() { 0 } else { unit.replicas() },
+        version: record.version,
+    }
+}
+
+fn standing(record: &UnitRecord) -> String {
+    match &record.standing {
+        Standing::Wanted if record.missing().next().is_some() => "waiting",
+        Standing::Wanted => "placed",
+        Standing::Aside { .. } => "set-aside",
+        Standing::Done => "done",
+        Standing::Failed { .. } => "failed",
+        Standing::Cancelled => "cancelled",
+    }
+    .to_owned()
+}
+
+/// The row of a task.
+pub fn task_row(state: &State, task: &Task) -> TaskRow {
+    let vm = state.vm(task.vm).map(|record| record.vm.name.clone());
+    TaskRow {
+        task: task.key.to_string(),
+        unit: task.unit.clone(),
+        replica: task.replica,
+        attempt: task.attempt,
+        vm: vm.unwrap_or_else(|| task.vm.to_string()),
+        phase: phase(task.phase),
+        resumed_from: task.resume_from,
+    }
+}
+
+fn phase(phase: Phase) -> String {
+    match phase {
+        Phase::Slowed(share) => format!("slowed to {share}%"),
+        other => format!("{other:?}").to_lowercase(),
+    }
+}
+
+/// The row of a VM.
+pub fn vm_row(state: &State, record: &VmRecord) -> VmRow {
+    VmRow {
+        name: record.vm.name.clone(),
+        labels: record.labels(),
+        size: record.vm.size,
+        taken: record.taken,
+        liveness: format!("{:?}", record.liveness).to_lowercase(),
+        drained: record.drained,
+        tasks: state.tasks_on(record.key).count() as u32,
+    }
+}
+
+fn decision_row(decision: &Decision) -> DecisionRow {
+    DecisionRow {
+        at: decision.at,
+        action: format!("{:?}", decision.action),
+        vm: decision.vm.clone(),
+        task: decision.task.map(|task| task.to_string()),
+        why: decision.why.clone(),
+        next_best: decision.next_best.clone(),
+    }
+}
+
+/// All that is known of a unit.
+pub fn unit_shown(state: &State, name: &str) -> Option<UnitShown> {
+    let record = state.unit(name)?;
+    let tasks = record.tasks.values().filter_map(|key| state.task(*key));
+    let reason = match &record.standing {
+        Standing::Failed { reason } => Some(reason.clone()),
+        _ => None,
+    };
+    Some(UnitShown {
+        row: unit_row(state, record),
+        unit: record.unit.clone(),
+        reason,
+        tasks: tasks.map(|task| task_row(state, task)).collect(),
+        resume: record.resume.map(|resume| (resume.attempt, resume.checkpoint)),
+        decisions: record.decisions.iter().map(decision_row).collect(),
+    })
+}
--- /dev/null
+++ b/crates/pond-endpoint/src/process.rs
@@ -0,0 +1,79 @@
+//! Starts and stops the thread of an endpoint process.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use pond_link::Terms;
+use pond_log::{Logger, event};
+use pond_process::{Error, Threads, listen, read_token};
+use pond_proto::Life;
+use pond_proto::wire::Role;
+use pond_settings::{Process as Settings, Role as SettingsRole};
+use tokio::sync::oneshot;
+
+use crate::serve::{self, Parts};
+
+/// A running endpoint process.
+pub struct Process {
+    address: SocketAddr,
+    stop: oneshot::Sender<()>,
+    threads: Threads,
+    log: Logger,
+}
+
+impl Process {
+    /// Starts an endpoint process from its settings.
+    ///
+    /// # Errors
+    /// See [`Error`]; nothing is left running.
+    pub fn start(settings: &Settings, log: Logger) -> Result<Process, Error> {
+        let SettingsRole::Endpoint(endpoint) = &settings.role else {
+            return Err(Error::Role { wanted: "endpoint" });
+        };
+        let listener = listen(endpoint.internal)?;
+        let address = listener.local_addr().unwrap_or(endpoint.internal);
+        let limits = settings.limits;
+        let terms =
+            Terms::new(Role::Endpoint, &settings.name, &settings.data_centre, Life::random())
+                .with_limits(limits.frame_bytes, limits.link_queue)
+                .with_address(&address.to_string())
+                .with_token(&read_token(settings)?);
+        let (stop, stopped) = oneshot::channel();
+        let replicas = settings.replicas.clone();
+        let thread_log = log.clone();
+        let mut threads = Threads::new();
+        threads.spawn("serve", move || async move {
+            let Ok(listener) = tokio::net::TcpListener::from_std(listener) else { return };
+            let parts = Parts {
+                listener,
+                replicas,
+                terms,
+                stop: stopped,
+                stop_time: Duration::from_millis(limits.stop_ms),
+                answer_bytes: limits.body_bytes,
+                log: thread_log,
+            };
+            serve::run(parts).await;
+        })?;
+        event!(log, STARTED, "internal" => address.to_string());
+        Ok(Process { address, stop, threads, log })
+    }
+
+    /// Where it takes internal links.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops as planned: refuses what is new, finishes what it has, then ends.
+    pub fn stop(self) {
+        event!(self.log, STOPPING);
+        let _ = self.stop.send(());
+        self.threads.join();
+        event!(self.log, STOPPED);
+    }
+
+    /// Ends at once, as if it had been killed.
+    pub fn kill(self) {
+        self.threads.cut_short();
+    }
+}
--- /dev/null
+++ b/crates/pond-entry/src/process.rs
@@ -0,0 +1,111 @@
+//! Starts and stops the threads of an entry.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::Duration;
+
+use pond_http::{Limits, Stop, serve};
+use pond_link::Terms;
+use pond_log::{Logger, Metrics, event};
+use pond_process::{Error, Threads, listen, read_token};
+use pond_proto::Life;
+use pond_proto::wire::Role;
+use pond_settings::{Process as Settings, Role as SettingsRole};
+use tokio::sync::mpsc;
+
+use crate::caller::Caller;
+use crate::route::{self, Asked, Parts};
+
+/// Requests that may wait on their way to the router.
+const RING: usize = 4096;
+
+/// A running entry.
+pub struct Process {
+    address: SocketAddr,
+    stop: Stop,
+    threads: Threads,
+    stop_time: Duration,
+    log: Logger,
+}
+
+impl Process {
+    /// Starts an entry from its settings.
+    ///
+    /// # Errors
+    /// See [`Error`]; nothing is left running.
+    pub fn start(settings: &Settings, log: Logger) -> Result<Process, Error> {
+        let SettingsRole::Entry(entry) = &settings.role else {
+            return Err(Error::Role { wanted: "entry" });
+        };
+        let listener = listen(entry.callers)?;
+        let address = listener.local_addr().unwrap_or(entry.callers);
+        let limits = settings.limits;
+        let terms = Terms::new(Role::Entry, &settings.name, &settings.data_centre, Life::random())
+            .with_limits(limits.frame_bytes, limits.link_queue)
+            .with_token(&read_token(settings)?);
+        let metrics =
+            Metrics::start(settings.metrics, "entry").map_err(|source| Error::Thread { source })?;
+        let (ring, asked) = mpsc::channel(RING);
+        let stop = Stop::new();
+        let stop_time = Duration::from_millis(limits.stop_ms);
+        let mut process =
+            Process { address, stop: stop.clone(), threads: Threads::new(), stop_time, log };
+        let caller = Caller::new(ring, entry.default_deadline_ms);
+        let limits = Limits {
+            connections: limits.connections,
+            read: Duration::from_millis(limits.read_ms),
+            body_bytes: limits.body_bytes,
+        };
+        process.start_callers(listener, limits, caller)?;
+        process.start_router(settings, terms, asked, metrics)?;
+        event!(process.log, STARTED, "callers" => address.to_string());
+        Ok(process)
+    }
+
+    fn start_callers(
+        &mut self,
+        listener: TcpListener,
+        limits: Limits,
+        caller: Caller,
+    ) -> Result<(), Error> {
+        let (stop, log, patience) = (self.stop.clone(), self.log.clone(), self.stop_time);
+        self.threads.spawn("callers", move || async move {
+            let Ok(listener) = tokio::net::TcpListener::from_std(listener) else { return };
+            let serving = serve(listener, limits, stop.clone(), Arc::new(caller));
+            tokio::pin!(serving);
+            tokio::select! {
+                () = serving.as_mut() => return,
+                () = stop.wait() => {}
+            }
+            if tokio::time::timeout(patience, serving).await.is_err() {
+                event!(log, STOP_LATE);
+            }
+        })
+    }
+
+    fn start_router(
+        &mut self,
+        settings: &Settings,
+        terms: Terms,
+        asked: mpsc::Receiver<Asked>,
+        metrics: Metrics,
+    ) -> Result<(), Error> {
+        let log = self.log.clone();
+        let replicas = settings.replicas.clone();
+        let parts = Parts { replicas, terms, asked, log, metrics };
+        self.threads.spawn("route", move || route::run(parts))
+    }
+
+    /// Where callers connect.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops as planned: takes no more, finishes what it has, then ends all threads.
+    pub fn stop(self) {
+        event!(self.log, STOPPING);
+        self.stop.stop();
+        self.threads.join();
+        event!(self.log, STOPPED);
+    }
+}
--- a/crates/pond-http/src/client.rs
+++ b/crates/pond-http/src/client.rs
@@ -57,7 +57,12 @@
     ///
     /// # Errors
     /// [`Error::NotSent`] if it surely did not run, [`Error::Broken`] if it may have.
-    pub async fn call(&self, address: &str, call: Call, patience: Duration) -> Result<Reply, Error> {
+    pub async fn call(
+        &self,
+        address: &str,
+        call: Call,
+        patience: Duration,
+    ) -> Result<Reply, Error> {
         let exchange = self.exchange(address, call);
         match timeout(patience, exchange).await {
             Ok(result) => result,
--- a/crates/pond-link/src/accept.rs
+++ b/crates/pond-link/src/accept.rs
@@ -9,15 +9,12 @@
 use crate::event::{Event, EventKind, LinkKey};
 use crate::{Error, Terms, pump};
 
-/// Keys of accepted links start here, so that dialled ones can be numbered from zero.
-const FIRST_KEY: u64 = 1 << 32;
-
 /// Accepts links until the receiver of the events is gone or the task is ended.
 ///
 /// Beyond [`Terms::links`] open links, new connections are closed at once.
 pub async fn accept(listener: TcpListener, terms: Arc<Terms>, events: mpsc::Sender<Event>) {
     let room = Arc::new(Semaphore::new(terms.links));
-    let keys = AtomicU64::new(FIRST_KEY);
+    let keys = AtomicU64::new(LinkKey::FIRST_ACCEPTED);
     while !events.is_closed() {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(std::time::Duration::from_millis(20)).await;
--- a/crates/pond-link/src/event.rs
+++ b/crates/pond-link/src/event.rs
@@ -11,6 +11,16 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct LinkKey(pub u64);
 
+impl LinkKey {
+    /// Keys of accepted links start here, so that dialled ones can be numbered from zero.
+    pub(crate) const FIRST_ACCEPTED: u64 = 1 << 32;
+
+    /// Whether the other end dialled.
+    pub fn accepted(self) -> bool {
+        self.0 >= LinkKey::FIRST_ACCEPTED
+    }
+}
+
 /// Something happened on a link.
 #[derive(Debug)]
 pub struct Event {
--- a/crates/pond-link/src/pump.rs
+++ b/crates/pond-link/src/pump.rs
@@ -131,6 +131,7 @@
 }
 
 fn decode(bytes: &[u8]) -> Result<Body, Error> {
-    let frame = Frame::decode(bytes).map_err(|error| Error::BadFrame { what: error.to_string() })?;
+    let frame =
+        Frame::decode(bytes).map_err(|error| Error::BadFrame { what: error.to_string() })?;
     frame.body.ok_or_else(|| Error::BadFrame { what: "it carries nothing known".to_owned() })
 }
--- a/crates/pond-link/src/terms.rs
+++ b/crates/pond-link/src/terms.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use pond_proto::wire::{Hello, Role, VERSION};
 use pond_proto::Life;
+use pond_proto::wire::{Hello, Role, VERSION};
 
 /// Who this process is and how its links are limited.
 #[derive(Clone, Debug)]
@@ -32,6 +32,7 @@
             life: life.0,
             data_centre: data_centre.to_owned(),
             token: String::new(),
+            address: String::new(),
         };
         Terms {
             hello,
@@ -50,6 +51,12 @@
         self
     }
 
+    /// States where this process takes internal links.
+    pub fn with_address(mut self, address: &str) -> Terms {
+        self.hello.address = address.to_owned();
+        self
+    }
+
     /// Sets the token that both ends must know.
     pub fn with_token(mut self, token: &str) -> Terms {
         self.hello.token = token.to_owned();
--- /dev/null
+++ b/crates/pond-log/src/events.rs
@@ -0,0 +1,130 @@
+//! The catalogue of events. A number is never used for another event.
+
+/// How much an event matters.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Level {
+    /// Something is broken and needs an operator.
+    Error,
+    /// Something went wrong and was dealt with.
+    Warning,
+    /// Something that operators like to see.
+    Info,
+    /// For those who look for a fault.
+    Debug,
+}
+
+impl Level {
+    /// The level for the logging library.
+    pub const fn slog(self) -> slog::Level {
+        match self {
+            Level::Error => slog::Level::Error,
+            Level::Warning => slog::Level::Warning,
+            Level::Info => slog::Level::Info,
+            Level::Debug => slog::Level::Debug,
+        }
+    }
+
+    /// Its name in the catalogue.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Level::Error => "error",
+            Level::Warning => "warning",
+            Level::Info => "info",
+            Level::Debug => "debug",
+        }
+    }
+}
+
+/// One kind of event.
+#[derive(Clone, Copy, Debug)]
+pub struct Event {
+    /// Its number.
+    pub number: u16,
+    /// Its level.
+    pub level: Level,
+    /// Its fixed text.
+    pub text: &'static str,
+    /// What to do about it.
+    pub advice: &'static str,
+}
+
+macro_rules! catalogue {
+    ($($name:ident = $number:literal, $level:ident, $text:literal, $advice:literal;)*) => {
+        $(
+            #[doc = $text]
+            pub const $name: Event = Event {
+                number: $number,
+                level: Level::$level,
+                text: $text,
+                advice: $advice,
+            };
+        )*
+
+        /// All events, in the order of their numbers.
+        pub const ALL: &[Event] = &[$($name),*];
+    };
+}
+
+catalogue! {
+    STARTED = 100, Info, "process started", "nothing";
+    STOPPING = 101, Info, "process stops as planned", "nothing";
+    STOPPED = 102, Info, "process stopped", "nothing";
+    STOP_LATE = 103, Warning, "the planned stop took too long and was cut short",
+        "raise limits.stop_ms if requests may take that long";
+    SETTINGS_BAD = 104, Error, "the settings are wrong", "run `pondbay check` on the file";
+    LINK_UP = 200, Debug, "link is up", "nothing";
+    LINK_DOWN = 201, Warning, "link is lost",
+        "nothing if it comes back; else look at the process on the other side";
+    LINK_REFUSED = 202, Warning, "an incoming link was refused",
+        "look at the reason: another release, another token, or a stranger on the internal port";
+    LEADER = 300, Info, "this replica leads", "nothing";
+    FOLLOWER = 301, Info, "this replica follows", "nothing";
+    QUORUM_FORMED = 302, Info, "the quorum is formed for the first time", "nothing";
+    QUORUM_WAITS = 303, Info, "waiting for all replicas before the first start",
+        "start all control processes that the settings name";
+    MEMBERS = 304, Info, "the members of the quorum changed", "nothing";
+    TORN_END = 305, Warning, "a torn end of the log was cut", "nothing: it had not been accepted";
+    SNAPSHOT = 306, Info, "a snapshot was saved", "nothing";
+    INSTALLED = 307, Info, "a snapshot of the leader was installed", "nothing";
+    STORE_FAILED = 308, Error, "durable files failed; the replica stops",
+        "free or replace the disk, then start the replica again";
+    STATE_DIFFERS = 309, Error, "replicas hold different states",
+        "stop the replica that differs from the others, move its folder away, start it empty";
+    REPLACED = 310, Warning, "a replica came back with another disk and is replaced", "nothing";
+    CHANGE_ACCEPTED = 400, Info, "a change was accepted", "nothing";
+    CHANGE_REFUSED = 401, Info, "a change was refused", "nothing: the sender was told why";
+    PLACED = 402, Info, "task placed", "nothing";
+    SET_ASIDE = 403, Info, "unit can run nowhere now", "see `pondbay explain UNIT`";
+    STEERED = 404, Info, "task steered", "see `pondbay explain UNIT`";
+    TASK_STARTED = 405, Info, "task started", "nothing";
+    TASK_ENDED = 406, Info, "task ended", "see `pondbay explain UNIT` if it failed";
+    ORDER_FAILED = 407, Warning, "an order to a worker failed and is tried again",
+        "look at the worker if it goes on";
+    LIST_FAILED = 408, Warning, "the platform's VM list could not be read",
+        "look at the platform; the last list stays in use";
+    VM_JUDGED = 409, Info, "a VM's liveness was judged anew", "nothing";
+    DEADLINE_RISK = 410, Warning, "a job will probably miss its deadline",
+        "give it more room or a higher priority";
+    VIEW_IN_FORCE = 500, Debug, "a configuration is in force", "nothing";
+    VIEW_GAP = 501, Info, "a step of the configuration was missing; all of it is asked for",
+        "nothing";
+    REQUEST_NOT_RUN = 502, Debug, "a request was not run", "nothing: its caller was told";
+    REQUEST_UNKNOWN = 503, Warning, "the fate of a request is unknown",
+        "look at the endpoint that it was offered to";
+    ENDPOINT_EJECTED = 504, Warning, "an endpoint is ejected", "look at the endpoint";
+    DRAINING = 505, Info, "endpoint takes nothing new", "nothing";
+}
+
+/// The catalogue as the page `docs/EVENTS.md`.
+pub fn page() -> String {
+    let mut page = String::from(
+        "# Events\n\nEvery line of the log carries one of these numbers in `event`. This page is \
+         written by `pondbay docs events` and checked by a test.\n\n\
+         | event | level | text | what to do |\n|---|---|---|---|\n",
+    );
+    for event in ALL {
+        let Event { number, level, text, advice } = event;
+        page.push_str(&format!("| {number} | {} | {text} | {advice} |\n", level.as_str()));
+    }
+    page
+}
--- a/crates/pond-platform/src/border.rs
+++ b/crates/pond-platform/src/border.rs
@@ -45,12 +45,8 @@
     fn lease<'a>(&'a self, worker: &'a str, order: Lease) -> Answer<'a, LeaseAnswer>;
 
     /// Starts a task; repeated, it answers the same.
-    fn start<'a>(
-        &'a self,
-        worker: &'a str,
-        task: TaskKey,
-        order: Start,
-    ) -> Answer<'a, StartAnswer>;
+    fn start<'a>(&'a self, worker: &'a str, task: TaskKey, order: Start)
+    -> Answer<'a, StartAnswer>;
 
     /// Makes a checkpoint.
     fn checkpoint<'a>(
--- a/crates/pond-platform/src/lib.rs
+++ b/crates/pond-platform/src/lib.rs
@@ -10,6 +10,6 @@
 pub use border::{Answer, Error, Platform};
 pub use http::HttpPlatform;
 pub use message::{
-    Checkpoint, Ending, Lease, LeaseAnswer, Refusal, RefusalCode, Report, Stamp, Start, StartAnswer, Stop,
-    StopAnswer, TaskState, TaskStatus, Throttle, Usage, VmList,
+    Checkpoint, Ending, Lease, LeaseAnswer, Refusal, RefusalCode, Report, Stamp, Start,
+    StartAnswer, Stop, StopAnswer, TaskState, TaskStatus, Throttle, Usage, VmList,
 };
--- a/crates/pond-platform/src/message.rs
+++ b/crates/pond-platform/src/message.rs
@@ -51,6 +51,8 @@
     pub task: TaskKey,
     /// Where it stands.
     pub state: TaskState,
+    /// Hundredths of its processors that it may use.
+    pub share: u32,
     /// The last checkpoint, if it made one.
     #[serde(default)]
     pub checkpoint: Option<u64>,
--- /dev/null
+++ b/crates/pond-process/src/lib.rs
@@ -0,0 +1,11 @@
+//! What all roles need to start: listeners, threads with runtimes, tokens.
+
+mod error;
+mod listen;
+mod threads;
+mod token;
+
+pub use error::Error;
+pub use listen::listen;
+pub use threads::Threads;
+pub use token::read_token;
--- a/crates/pond-proto/src/lib.rs
+++ b/crates/pond-proto/src/lib.rs
@@ -12,6 +12,7 @@
 mod vm;
 
 pub mod audit;
+pub mod operator;
 pub mod quorum;
 pub mod view;
 pub mod wire;
@@ -21,6 +22,6 @@
 pub use outcome::Outcome;
 pub use selector::{Operator, Selector, Term};
 pub use size::Size;
-pub use time::{Millis, Span};
+pub use time::{Micros, Millis, Span};
 pub use unit::{Job, Kind, Service, Unit, UnitName};
 pub use vm::{Presence, Vm};
--- a/crates/pond-proto/src/selector.rs
+++ b/crates/pond-proto/src/selector.rs
@@ -67,9 +67,7 @@
 }
 
 /// Conditions that must all hold; none at all matches everything.
-#[derive(
-    Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize, JsonSchema,
-)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize, JsonSchema)]
 pub struct Selector {
     /// The conditions.
     pub terms: Vec<Term>,
@@ -78,11 +76,8 @@
 impl Selector {
     /// A selector for one key with one value.
     pub fn equals(key: &str, value: &str) -> Selector {
-        let term = Term {
-            key: key.to_owned(),
-            operator: Operator::In,
-            values: vec![value.to_owned()],
-        };
+        let term =
+            Term { key: key.to_owned(), operator: Operator::In, values: vec![value.to_owned()] };
         Selector { terms: vec![term] }
     }
 
--- a/crates/pond-proto/src/size.rs
+++ b/crates/pond-proto/src/size.rs
@@ -6,9 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 /// An amount of processors, memory and accelerators.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize, JsonSchema,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize, JsonSchema)]
 pub struct Size {
     /// Thousandths of a processor.
     pub milli_cpu: u32,
--- a/crates/pond-proto/src/time.rs
+++ b/crates/pond-proto/src/time.rs
@@ -48,3 +48,26 @@
         Millis(self.0.saturating_sub(span))
     }
 }
+
+/// A point in time in microseconds on a monotonic clock, for the path of requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Micros(pub u64);
+
+impl Micros {
+    /// How long after `earlier` this is, in microseconds; zero if it is not later.
+    pub fn since(self, earlier: Micros) -> u64 {
+        self.0.saturating_sub(earlier.0)
+    }
+
+    /// This many milliseconds later.
+    pub fn plus_ms(self, ms: u64) -> Micros {
+        Micros(self.0.saturating_add(ms.saturating_mul(1000)))
+    }
+}
+
+impl Add<u64> for Micros {
+    type Output = Micros;
+    fn add(self, us: u64) -> Micros {
+        Micros(self.0.saturating_add(us))
+    }
+}
--- a/crates/pond-proto/src/vm.rs
+++ b/crates/pond-proto/src/vm.rs
@@ -6,9 +6,7 @@
 use crate::{Labels, Size};
 
 /// What the platform's list says of a VM.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize, JsonSchema,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "lowercase")]
 pub enum Presence {
     /// It may take work.
--- a/crates/pond-proto/src/wire.rs
+++ b/crates/pond-proto/src/wire.rs
@@ -56,6 +56,9 @@
     /// The shared token of internal links; empty where none is set.
     #[prost(string, tag = "6")]
     pub token: String,
+    /// Where the sender takes internal links, as `ip:port`; empty where it takes none.
+    #[prost(string, tag = "7")]
+    pub address: String,
 }
 
 /// A caller's request, offered to an endpoint.
@@ -73,9 +76,12 @@
     /// Milliseconds it may still take; it is not started after that.
     #[prost(uint32, tag = "4")]
     pub remaining_ms: u32,
-    /// The method, path and body to pass on.
+    /// What is passed on.
     #[prost(message, required, tag = "5")]
     pub content: Content,
+    /// Requests of the same life with a lower number are settled: nobody will ask for them.
+    #[prost(uint64, tag = "6")]
+    pub oldest_open: u64,
 }
 
 /// What of a request is passed on.
@@ -214,6 +220,12 @@
     /// The leader's term.
     #[prost(uint64, tag = "2")]
     pub term: u64,
+    /// Index of the sender's last snapshot, between control replicas.
+    #[prost(uint64, tag = "3")]
+    pub snapshot_index: u64,
+    /// Checksum of the replicated state at that index.
+    #[prost(uint32, tag = "4")]
+    pub checksum: u32,
 }
 
 /// Acknowledges that a view is in force at the sender.
--- a/crates/pond-quorum/src/election.rs
+++ b/crates/pond-quorum/src/election.rs
@@ -70,7 +70,8 @@
     }
 
     pub(crate) fn vote_ask(&mut self, now: Millis, from: u64, term: u64, ask: VoteAsk) {
-        let newer = (ask.last_term, ask.last_index) >= (self.log.last_term(), self.log.last_index());
+        let newer =
+            (ask.last_term, ask.last_index) >= (self.log.last_term(), self.log.last_index());
         let willing = newer && self.may_disturb(now, ask.handover);
         if ask.pre {
             let granted = willing && term > self.hard.term;
--- a/crates/pond-quorum/src/follower.rs
+++ b/crates/pond-quorum/src/follower.rs
@@ -49,11 +49,13 @@
     /// Merges entries into the log; the last equal index, or where it may be equal and its term.
     fn merge(&mut self, append: Append) -> Result<u64, (u64, u64)> {
         let previous = append.previous_index;
-        if previous >= self.log.base_index() && self.log.term(previous) != Some(append.previous_term)
+        if previous >= self.log.base_index()
+            && self.log.term(previous) != Some(append.previous_term)
         {
-            let at = self.log.last_at_most(previous, append.previous_term).min(
-                previous.saturating_sub(1),
-            );
+            let at = self
+                .log
+                .last_at_most(previous, append.previous_term)
+                .min(previous.saturating_sub(1));
             return Err((at, self.log.term(at).unwrap_or(0)));
         }
         let last = previous + append.entries.len() as u64;
--- a/crates/pond-quorum/src/leader.rs
+++ b/crates/pond-quorum/src/leader.rs
@@ -202,13 +202,8 @@
         }
         progress.in_flight += 1;
         progress.sent = now;
-        let append = Append {
-            previous_index: previous,
-            previous_term,
-            entries,
-            commit: self.commit,
-            round,
-        };
+        let append =
+            Append { previous_index: previous, previous_term, entries, commit: self.commit, round };
         self.send(to, Body::Append(append));
         true
     }
--- /dev/null
+++ b/crates/pond-route/src/policy.rs
@@ -0,0 +1,70 @@
+//! Ways to choose one endpoint among those that may get a request.
+
+use rand::Rng;
+use rand::rngs::SmallRng;
+
+use crate::endpoint::{Endpoint, EndpointKey};
+
+/// Chooses an endpoint.
+pub trait Policy: std::fmt::Debug + Send {
+    /// Chooses one of the candidates, of which there is at least one.
+    fn pick(&mut self, candidates: &[&Endpoint], rng: &mut SmallRng) -> EndpointKey;
+}
+
+/// The policies that there are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PolicyKind {
+    /// Any of them.
+    Random,
+    /// The one with the fewest open offers of this entry.
+    LeastOpen,
+    /// Of two at random, the one with the lower expected cost.
+    TwoChoices,
+}
+
+impl PolicyKind {
+    /// The policy itself.
+    pub fn build(self) -> Box<dyn Policy> {
+        match self {
+            PolicyKind::Random => Box::new(Random),
+            PolicyKind::LeastOpen => Box::new(LeastOpen),
+            PolicyKind::TwoChoices => Box::new(TwoChoices),
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Random;
+
+impl Policy for Random {
+    fn pick(&mut self, candidates: &[&Endpoint], rng: &mut SmallRng) -> EndpointKey {
+        candidates[rng.random_range(0..candidates.len())].key
+    }
+}
+
+#[derive(Debug)]
+struct LeastOpen;
+
+impl Policy for LeastOpen {
+    fn pick(&mut self, candidates: &[&Endpoint], rng: &mut SmallRng) -> EndpointKey {
+        let least = candidates.iter().map(|endpoint| endpoint.open).min().unwrap_or(0);
+        let tied: Vec<_> = candidates.iter().filter(|endpoint| endpoint.open == least).collect();
+        tied[rng.random_range(0..tied.len())].key
+    }
+}
+
+#[derive(Debug)]
+struct TwoChoices;
+
+impl Policy for TwoChoices {
+    fn pick(&mut self, candidates: &[&Endpoint], rng: &mut SmallRng) -> EndpointKey {
+        let first = rng.random_range(0..candidates.len());
+        if candidates.len() == 1 {
+            return candidates[0].key;
+        }
+        let step = rng.random_range(1..candidates.len());
+        let second = (first + step) % candidates.len();
+        let (a, b) = (candidates[first], candidates[second]);
+        if a.cost() <= b.cost() { a.key } else { b.key }
+    }
+}
--- a/crates/pond-sched/src/plan.rs
+++ b/crates/pond-sched/src/plan.rs
@@ -1,6 +1,8 @@
 //! One round of planning.
 
-use pond_proto::{Millis, VmKey};
+use std::collections::BTreeMap;
+
+use pond_proto::{Millis, UnitName, VmKey};
 use pond_state::{Action, Change, Decision, Standing, State, UnitRecord, VmRecord};
 
 use crate::candidate::{Given, obstacle, score};
@@ -12,7 +14,13 @@
 
 /// The scheduler.
 #[derive(Debug, Default)]
-pub struct Scheduler {}
+pub struct Scheduler {
+    /// The count of room at which a unit was last found to fit nowhere.
+    ///
+    /// Kept here and not in the state while the reason stays the same, so that units that fit
+    /// nowhere cost the log nothing.
+    judged: BTreeMap<UnitName, u64>,
+}
 
 /// A VM that can take a unit, with its score.
 struct Choice {
@@ -50,10 +58,14 @@
         changes
     }
 
-    fn plan_placements(&self, state: &State, now: Millis) -> Vec<Change> {
+    fn plan_placements(&mut self, state: &State, now: Millis) -> Vec<Change> {
+        // Before the first list nothing can be said.
+        if state.vms().next().is_none() {
+            return Vec::new();
+        }
         let mut waiting: Vec<(Rank, &UnitRecord)> = state
             .wanting()
-            .filter(|record| due(state, record, now))
+            .filter(|record| self.due(state, record, now))
             .map(|record| (Rank::new(record, now), record))
             .collect();
         waiting.sort_by(|a, b| (a.0, &a.1.unit.name).cmp(&(b.0, &b.1.unit.name)));
@@ -65,44 +77,56 @@
                 if changes.len() >= PLACEMENTS {
                     return changes;
                 }
-                let change = place(state, &mut given, record, replica, now);
-                let set_aside = matches!(change, Change::SetAside { .. });
-                changes.push(change);
-                if set_aside {
-                    break;
+                match place(state, &mut given, record, replica, now) {
+                    Ok(change) => changes.push(change),
+                    Err(why) => {
+                        changes.extend(self.set_aside(state, record, why, now));
+                        break;
+                    }
                 }
             }
         }
         changes
     }
-}
 
-/// Whether a unit is to be looked at now.
-fn due(state: &State, record: &UnitRecord, now: Millis) -> bool {
-    if record.not_before > now {
-        return false;
+    /// Whether a unit is to be looked at now: one that fits nowhere only when there is new room.
+    fn due(&self, state: &State, record: &UnitRecord, now: Millis) -> bool {
+        if record.not_before > now {
+            return false;
+        }
+        let Standing::Aside { room } = record.standing else { return true };
+        let judged = self.judged.get(&record.unit.name).copied().unwrap_or(0);
+        state.room() > room.max(judged)
     }
-    match record.standing {
-        Standing::Aside { room } => state.room() > room,
-        _ => true,
+
+    /// Sets a unit aside; none if the state knows the same reason already.
+    fn set_aside(
+        &mut self,
+        state: &State,
+        record: &UnitRecord,
+        why: String,
+        now: Millis,
+    ) -> Option<Change> {
+        let unit = record.unit.name.clone();
+        self.judged.insert(unit.clone(), state.room());
+        let known = matches!(record.standing, Standing::Aside { .. })
+            && record.decisions.back().is_some_and(|last| last.why == why);
+        let decision = Decision::new(now, Action::SetAside, why);
+        (!known).then_some(Change::SetAside { at: now, unit, decision })
     }
 }
 
+/// Finds a VM for one replica, or says why there is none.
 fn place(
     state: &State,
     given: &mut Given,
     record: &UnitRecord,
     replica: u32,
     now: Millis,
-) -> Change {
+) -> Result<Change, String> {
     let unit = &record.unit;
-    let aside = |why: String| Change::SetAside {
-        at: now,
-        unit: unit.name.clone(),
-        decision: Decision::new(now, Action::SetAside, why),
-    };
     if !given.within_quota(state, unit) {
-        return aside(format!("the quota of team {} is used up", unit.team));
+        return Err(format!("the quota of team {} is used up", unit.team));
     }
     let mut misses = Misses::default();
     let mut choices: Vec<Choice> = Vec::new();
@@ -113,10 +137,10 @@
         }
     }
     choices.sort_by_key(|choice| (std::cmp::Reverse(choice.score), choice.vm));
-    let Some(best) = choices.first() else { return aside(misses.explain(unit)) };
+    let Some(best) = choices.first() else { return Err(misses.explain(unit)) };
     let (why, next_best) = explain(&choices);
     given.add(best.vm, unit);
-    Change::Place {
+    Ok(Change::Place {
         at: now,
         unit: unit.name.clone(),
         replica,
@@ -124,7 +148,7 @@
         decision: Decision::new(now, Action::Place, why)
             .with_vm(&best.name)
             .with_next_best(next_best),
-    }
+    })
 }
 
 fn choice(state: &State, given: &Given, record: &UnitRecord, vm: &VmRecord) -> Choice {
--- a/crates/pond-standin/src/lib.rs
+++ b/crates/pond-standin/src/lib.rs
@@ -14,6 +14,6 @@
 pub use endpoint::Endpoint;
 pub use list::{LaggingList, ListServer};
 pub use program::Program;
-pub use record::{Record, Ran};
+pub use record::{Ran, Record};
 pub use server::{Host, WorkerServer};
 pub use worker::{Held, Worker};
--- a/crates/pond-standin/src/list.rs
+++ b/crates/pond-standin/src/list.rs
@@ -10,41 +10,51 @@
 use pond_proto::Vm;
 use tokio::net::TcpListener;
 
+/// The truth from one moment on.
+#[derive(Clone, Debug)]
+struct Version {
+    since: Instant,
+    vms: Vec<Vm>,
+}
+
 /// The list as it was some time ago. Clones share it.
 #[derive(Clone, Debug)]
 pub struct LaggingList {
     lag: Duration,
-    versions: Arc<Mutex<Vec<(Instant, Vec<Vm>)>>>,
+    versions: Arc<Mutex<Vec<Version>>>,
 }
 
 impl LaggingList {
     /// A list that holds these VMs from the start.
     pub fn new(lag: Duration, vms: Vec<Vm>) -> LaggingList {
-        LaggingList { lag, versions: Arc::new(Mutex::new(vec![(Instant::now(), vms)])) }
+        LaggingList {
+            lag,
+            versions: Arc::new(Mutex::new(vec![Version { since: Instant::now(), vms }])),
+        }
     }
 
     /// Sets the truth; the list tells it after its lag.
     pub fn set(&self, vms: Vec<Vm>) {
         let mut versions = self.versions.lock().unwrap_or_else(PoisonError::into_inner);
-        versions.push((Instant::now(), vms));
+        versions.push(Version { since: Instant::now(), vms });
     }
 
     /// Changes the truth about some VMs.
     pub fn change(&self, change: impl Fn(&mut Vm)) {
         let mut versions = self.versions.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut vms = versions.last().map(|(_, vms)| vms.clone()).unwrap_or_default();
+        let mut vms = versions.last().map(|version| version.vms.clone()).unwrap_or_default();
         vms.iter_mut().for_each(change);
-        versions.push((Instant::now(), vms));
+        versions.push(Version { since: Instant::now(), vms });
     }
 
     /// What the list tells now.
     pub fn told(&self) -> Vec<Vm> {
         let mut versions = self.versions.lock().unwrap_or_else(PoisonError::into_inner);
         let now = Instant::now();
-        while versions.len() > 1 && now.duration_since(versions[1].0) >= self.lag {
+        while versions.len() > 1 && now.duration_since(versions[1].since) >= self.lag {
             versions.remove(0);
         }
-        versions.first().map(|(_, vms)| vms.clone()).unwrap_or_default()
+        versions.first().map(|version| version.vms.clone()).unwrap_or_default()
     }
 }
 
--- a/crates/pond-standin/src/server.rs
+++ b/crates/pond-standin/src/server.rs
@@ -104,10 +104,9 @@
             self.record.clone(),
             stop.clone(),
         );
-        let address = started.await.map_err(|error| Refusal {
-            code: RefusalCode::NoRoom,
-            message: error.to_string(),
-        })?;
+        let address = started
+            .await
+            .map_err(|error| Refusal { code: RefusalCode::NoRoom, message: error.to_string() })?;
         self.endpoints.lock().unwrap_or_else(PoisonError::into_inner).insert(task, stop);
         let told = self.worker().set_endpoint(task, &address.to_string());
         Ok(StartAnswer { status: told.unwrap_or(status) })
@@ -117,11 +116,11 @@
         match verb {
             "start" => match read::<Start>(call) {
                 Ok(order) => tell(self.start(task, order).await),
-                Err(reply) => reply,
+                Err(error) => bad(&error),
             },
-            "checkpoint" => with(call, |order: Checkpoint| {
-                self.worker().checkpoint(task, order.term)
-            }),
+            "checkpoint" => {
+                with(call, |order: Checkpoint| self.worker().checkpoint(task, order.term))
+            }
             "throttle" => with(call, |order: Throttle| -> Result<TaskStatus, Refusal> {
                 self.worker().throttle(task, order.term, order.share)
             }),
@@ -152,9 +151,12 @@
     Reply::new(StatusCode::NOT_FOUND, "see docs/contracts/platform.md\n")
 }
 
-fn read<T: DeserializeOwned>(call: &Call) -> Result<T, Reply> {
+fn read<T: DeserializeOwned>(call: &Call) -> Result<T, serde_json::Error> {
     serde_json::from_slice(&call.body)
-        .map_err(|error| Reply::new(StatusCode::BAD_REQUEST, format!("{error}\n")))
+}
+
+fn bad(error: &serde_json::Error) -> Reply {
+    Reply::new(StatusCode::BAD_REQUEST, format!("{error}\n"))
 }
 
 fn tell<T: Serialize>(result: Result<T, Refusal>) -> Reply {
@@ -170,7 +172,7 @@
 ) -> Reply {
     match read(call) {
         Ok(order) => tell(act(order)),
-        Err(reply) => reply,
+        Err(error) => bad(&error),
     }
 }
 
--- a/crates/pond-standin/src/worker.rs
+++ b/crates/pond-standin/src/worker.rs
@@ -38,6 +38,7 @@
         TaskStatus {
             task,
             state: self.state.clone(),
+            share: self.share,
             checkpoint: self.checkpoint,
             endpoint: self.endpoint.clone(),
         }
--- a/crates/pond-state/src/place.rs
+++ b/crates/pond-state/src/place.rs
@@ -207,9 +207,8 @@
             }
             (End::Refused { .. }, Some(_)) => {
                 // It never ran, so it still stands where it stood before.
-                record.resume = task
-                    .resume_from
-                    .map(|checkpoint| Resume { attempt: task.attempt, checkpoint });
+                record.resume =
+                    task.resume_from.map(|checkpoint| Resume { attempt: task.attempt, checkpoint });
                 record.not_before = clock + BACKOFF_MS;
             }
             (End::Failed { reason }, Some(retries)) => {
--- a/crates/pond-state/src/vm.rs
+++ b/crates/pond-state/src/vm.rs
@@ -5,9 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 /// What is believed of a VM.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 pub enum Liveness {
     /// Listed, and its worker answers.
     Live,
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,17 @@
 //! The pondbay binary.
 
-fn main() {}
+use std::process::ExitCode;
+
+use pond_command::{Out, run};
+
+fn main() -> ExitCode {
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    let mut stdout = std::io::stdout();
+    match run(&words, &mut Out::new(&mut stdout)) {
+        Ok(exit) => ExitCode::from(exit.0 as u8),
+        Err(error) => {
+            eprintln!("pondbay: {error}");
+            ExitCode::from(error.status() as u8)
+        }
+    }
+}
