Prove the quorum, the files and the state under failure

Cause: the promises that control leans on had no proof. Change: tests that drive the quorum core with real stores on disks that forget unsynced writes, under seeded schedules of loss, delay, duplication, cuts, crashes between write and sync, lost disks and clock drift; recovery of the files from every prefix of a group and from damage; tables and a property test for the state.

--- /dev/null
+++ b/crates/pond-quorum/tests/schedule.rs
@@ -0,0 +1,165 @@
+//! The promises of the quorum under schedules of failures.
+
+use pond_proto::quorum::Member;
+use pond_quorum::{Input, Role};
+use pond_test::{Cluster, Faults, cases};
+use proptest::prelude::*;
+
+fn check(mut cluster: Cluster, load_ms: u64) {
+    cluster.run_under_load(load_ms);
+    cluster.settle();
+    assert_eq!(cluster.wrong, None);
+}
+
+/// A cluster of three that has a leader and some accepted values.
+fn settled() -> (Cluster, u64) {
+    let mut cluster = Cluster::new(3, 1, Faults::none());
+    cluster.run(1500);
+    let leader = cluster.leader().expect("a leader");
+    (0..10).for_each(|_| cluster.propose(leader));
+    cluster.run(100);
+    assert_eq!(cluster.accepted(), 10);
+    (cluster, leader)
+}
+
+proptest! {
+    #![proptest_config(cases(2000))]
+
+    #[test]
+    fn three_replicas_keep_every_promise_when_everything_fails(seed in any::<u64>()) {
+        check(Cluster::new(3, seed, Faults::all()), 3000);
+    }
+}
+
+proptest! {
+    #![proptest_config(cases(300))]
+
+    #[test]
+    fn five_replicas_keep_every_promise_when_everything_fails(seed in any::<u64>()) {
+        check(Cluster::new(5, seed, Faults::all()), 3000);
+    }
+
+    #[test]
+    fn crashes_alone_lose_nothing(seed in any::<u64>()) {
+        let faults = Faults { crash: 400, ..Faults::none() };
+        check(Cluster::new(3, seed, faults), 3000);
+    }
+
+    #[test]
+    fn cuts_alone_lose_nothing(seed in any::<u64>()) {
+        let faults = Faults { cut: 1000, drift: 40, ..Faults::none() };
+        check(Cluster::new(3, seed, faults), 3000);
+    }
+
+    #[test]
+    fn a_lost_disk_votes_for_nobody_and_loses_nothing(seed in any::<u64>()) {
+        let mut cluster = Cluster::new(3, seed, Faults { loss: 20, ..Faults::none() });
+        cluster.run_under_load(2000);
+        let Some(leader) = cluster.leader() else { return Ok(()) };
+        let lost = (1..=3).find(|id| *id != leader).unwrap_or(1);
+        cluster.lose_disk(lost, 9);
+        cluster.run_under_load(500);
+        if let Some(leader) = cluster.leader() {
+            cluster.input(leader, Input::Remove(lost));
+            cluster.run_under_load(500);
+            let member =
+                Member { id: 9, name: "control-9".into(), address: String::new(), voter: false };
+            cluster.input(leader, Input::Add(member));
+        }
+        cluster.run_under_load(1000);
+        cluster.settle();
+        prop_assert_eq!(cluster.wrong.clone(), None);
+    }
+}
+
+#[test]
+fn disks_that_lie_about_syncing_are_noticed() {
+    let faults = Faults { crash: 400, lying_disks: true, ..Faults::all() };
+    let noticed = (0..40).any(|seed| {
+        let mut cluster = Cluster::new(3, seed, faults);
+        cluster.run_under_load(4000);
+        cluster.settle();
+        cluster.wrong.is_some()
+    });
+    assert!(noticed, "lost writes went unnoticed");
+}
+
+#[test]
+fn a_leader_cut_off_for_an_hour_neither_leads_nor_disturbs_when_it_is_back() {
+    let (mut cluster, old) = settled();
+    cluster.isolate(old, 3_600_000);
+    cluster.run(3000);
+    let new = cluster.leader().expect("another leader");
+    assert_ne!(new, old);
+    assert_ne!(cluster.core(old).expect("old").role(), Role::Leader);
+    let term = cluster.core(new).expect("new").term();
+    // It has asked for pre-votes all the time and not raised its term.
+    cluster.run(20_000);
+    assert!(cluster.core(old).expect("old").term() <= term);
+    cluster.settle();
+    assert_eq!(cluster.leader(), Some(new));
+    assert_eq!(cluster.core(new).expect("new").term(), term);
+    assert_eq!(cluster.wrong, None);
+}
+
+#[test]
+fn a_planned_stop_hands_over_without_waiting_for_a_timeout() {
+    let (mut cluster, old) = settled();
+    cluster.input(old, Input::HandOver);
+    cluster.run(100);
+    let new = cluster.leader().expect("another leader");
+    assert_ne!(new, old);
+    assert_eq!(cluster.wrong, None);
+}
+
+#[test]
+fn a_replica_behind_the_snapshot_catches_up_by_it() {
+    let mut cluster = Cluster::new(3, 5, Faults { snapshot_every: 10, ..Faults::none() });
+    cluster.run(1500);
+    let leader = cluster.leader().expect("a leader");
+    let late = (1..=3).find(|id| *id != leader).expect("another");
+    cluster.crash(late, 2000);
+    (0..300).for_each(|_| cluster.propose(leader));
+    cluster.run(1500);
+    cluster.settle();
+    assert_eq!(cluster.wrong, None);
+    assert_eq!(cluster.values(late), cluster.values(leader));
+}
+
+#[test]
+fn a_second_replica_lost_right_after_a_repair_loses_nothing() {
+    let (mut cluster, leader) = settled();
+    let others: Vec<u64> = (1..=3).filter(|id| *id != leader).collect();
+    cluster.lose_disk(others[0], 9);
+    cluster.input(leader, Input::Remove(others[0]));
+    cluster.run(300);
+    let member = Member { id: 9, name: "control-9".into(), address: String::new(), voter: false };
+    cluster.input(leader, Input::Add(member));
+    cluster.run(1000);
+    assert!(cluster.core(leader).expect("leader").members().votes(9), "it counts once caught up");
+    cluster.crash(others[1], 1_000_000);
+    cluster.propose(leader);
+    cluster.run(500);
+    assert_eq!(cluster.accepted(), 11);
+    assert_eq!(cluster.wrong, None);
+}
+
+#[test]
+fn a_leader_without_a_majority_steps_down_and_accepts_nothing() {
+    let (mut cluster, leader) = settled();
+    cluster.isolate(leader, 1_000_000);
+    cluster.propose(leader);
+    cluster.run(2000);
+    assert_ne!(cluster.core(leader).expect("leader").role(), Role::Leader);
+    assert_eq!(cluster.accepted(), 10);
+}
+
+#[test]
+fn reads_are_served_without_log_entries() {
+    let (mut cluster, leader) = settled();
+    let last = cluster.core(leader).expect("leader").last_index();
+    (0..5).for_each(|_| cluster.read(leader));
+    cluster.run(50);
+    assert_eq!(cluster.reads_done, 5);
+    assert_eq!(cluster.core(leader).expect("leader").last_index(), last);
+}
--- /dev/null
+++ b/crates/pond-store/tests/recovery.rs
@@ -0,0 +1,220 @@
+//! Recovery of durable files from every point at which a crash may come.
+
+use pond_proto::quorum::{Entry, Hard, Kind, Members, SnapshotHead};
+use pond_store::{Crash, Disk, Error, Memory, Recovered, Snapshot, Store};
+use pond_test::cases;
+use proptest::prelude::*;
+
+fn entry(index: u64, term: u64) -> Entry {
+    let data = format!("entry {index} of term {term}").into_bytes();
+    Entry { index, term, kind: Kind::Change as i32, data }
+}
+
+fn hard(term: u64) -> Option<Hard> {
+    Some(Hard { term, vote: 7, commit: 0 })
+}
+
+fn snapshot(index: u64) -> Snapshot {
+    let head = SnapshotHead { index, term: 1, members: Members::default() };
+    Snapshot { head, data: vec![42; 100] }
+}
+
+fn open(disk: &Memory) -> (Store, Recovered) {
+    Store::open(Box::new(disk.clone())).expect("opens")
+}
+
+/// Writes `groups` groups of three entries, each synced; the disk.
+fn written(groups: u64) -> Memory {
+    let disk = Memory::new();
+    let (store, _) = open(&disk);
+    let mut store = store.with_segment_bytes(300);
+    for group in 0..groups {
+        let entries: Vec<Entry> = (1..=3).map(|i| entry(group * 3 + i, 1)).collect();
+        store.append(hard(1), &entries).expect("writes");
+        store.sync().expect("syncs");
+    }
+    disk
+}
+
+fn last_segment(disk: &Memory) -> String {
+    let names = disk.list().expect("lists");
+    names.into_iter().filter(|name| name.starts_with("log-")).max().expect("a segment")
+}
+
+#[test]
+fn what_was_synced_is_there_after_a_crash() {
+    let disk = written(10);
+    disk.crash(Crash::DropUnsynced);
+    let (_, recovered) = open(&disk);
+    assert_eq!(recovered.entries.len(), 30);
+    assert_eq!(recovered.hard.vote, 7);
+    assert_eq!(recovered.cut, 0);
+}
+
+#[test]
+fn every_prefix_of_an_unsynced_group_recovers_to_what_was_synced() {
+    let size = {
+        let disk = written(1);
+        disk.read(&last_segment(&disk)).expect("reads").len()
+    };
+    for kept in 0..=size + 10 {
+        let disk = written(1);
+        let (mut store, _) = open(&disk);
+        let entries: Vec<Entry> = (4..=6).map(|index| entry(index, 2)).collect();
+        store.append(hard(2), &entries).expect("writes");
+        disk.crash(Crash::KeepBytes(kept));
+        let (mut store, recovered) = open(&disk);
+        let count = recovered.entries.len();
+        assert!(count == 3 || count == 6, "{kept} bytes kept gave {count} entries");
+        assert_eq!(recovered.hard.term, if count == 6 { 2 } else { 1 });
+        // What comes after a cut end is kept as well.
+        store.append(None, &[entry(count as u64 + 1, 3)]).expect("writes");
+        store.sync().expect("syncs");
+        disk.crash(Crash::DropUnsynced);
+        assert_eq!(open(&disk).1.entries.len(), count + 1);
+    }
+}
+
+#[test]
+fn an_entry_that_is_written_again_replaces_all_after_it() {
+    let disk = written(2);
+    let (mut store, _) = open(&disk);
+    store.append(hard(2), &[entry(4, 2)]).expect("writes");
+    store.sync().expect("syncs");
+    let (_, recovered) = open(&disk);
+    let terms: Vec<u64> = recovered.entries.iter().map(|entry| entry.term).collect();
+    assert_eq!(terms, [1, 1, 1, 2]);
+}
+
+#[test]
+fn damage_before_the_end_is_refused_with_its_place() {
+    let disk = written(10);
+    let names = disk.list().expect("lists");
+    let first = names.iter().find(|name| name.starts_with("log-")).expect("a segment");
+    disk.damage(first, 30);
+    let error = Store::open(Box::new(disk.copy())).expect_err("refuses");
+    assert!(matches!(&error, Error::Damaged { file, .. } if file == first), "{error}");
+    assert!(error.to_string().contains("move the folder away"));
+}
+
+#[test]
+fn damage_in_the_last_segment_before_a_whole_group_is_refused() {
+    let disk = written(2);
+    // One segment holds both groups here.
+    let (store, _) = open(&disk);
+    let mut store = store.with_segment_bytes(1 << 20);
+    for index in 7..=9 {
+        store.append(None, &[entry(index, 1)]).expect("writes");
+        store.sync().expect("syncs");
+    }
+    let name = last_segment(&disk);
+    disk.damage(&name, 25);
+    let error = Store::open(Box::new(disk.copy())).expect_err("refuses");
+    assert!(matches!(error, Error::Damaged { .. }), "{error}");
+}
+
+#[test]
+fn a_damaged_snapshot_is_refused() {
+    let disk = written(5);
+    let (mut store, _) = open(&disk);
+    store.save(&snapshot(9)).expect("saves");
+    let names = disk.list().expect("lists");
+    let name = names.iter().find(|name| name.starts_with("snapshot-")).expect("a snapshot");
+    disk.damage(name, 50);
+    let error = Store::open(Box::new(disk.copy())).expect_err("refuses");
+    assert!(matches!(error, Error::Damaged { .. }), "{error}");
+}
+
+#[test]
+fn a_snapshot_makes_old_segments_needless_and_keeps_the_rest() {
+    let disk = written(10);
+    let first = "log-00000000000000000001".to_owned();
+    assert!(disk.list().expect("lists").contains(&first));
+    let (mut store, _) = open(&disk);
+    store.save(&snapshot(15)).expect("saves");
+    assert!(!disk.list().expect("lists").contains(&first));
+    disk.crash(Crash::DropUnsynced);
+    let (_, recovered) = open(&disk);
+    assert_eq!(recovered.snapshot, Some(snapshot(15)));
+    let indexes: Vec<u64> = recovered.entries.iter().map(|entry| entry.index).collect();
+    assert_eq!(indexes, (16..=30).collect::<Vec<_>>());
+    assert_eq!(recovered.hard.term, 1);
+}
+
+#[test]
+fn a_snapshot_that_replaces_the_log_leaves_nothing_of_it() {
+    let disk = written(3);
+    let (mut store, _) = open(&disk);
+    store.replace(&snapshot(4)).expect("replaces");
+    disk.crash(Crash::DropUnsynced);
+    let (_, recovered) = open(&disk);
+    assert_eq!(recovered.entries, []);
+    assert_eq!(recovered.snapshot, Some(snapshot(4)));
+}
+
+#[test]
+fn a_full_disk_refuses_and_keeps_what_was_accepted() {
+    let disk = written(2);
+    let used: usize = disk
+        .list()
+        .expect("lists")
+        .iter()
+        .map(|name| disk.read(name).map_or(0, |bytes| bytes.len()))
+        .sum();
+    let (mut store, _) = open(&disk);
+    disk.set_capacity(Some(used + 10));
+    let error = store.append(hard(3), &[entry(7, 3)]).expect_err("refuses");
+    assert!(matches!(error, Error::Full { .. }), "{error}");
+    // With room again the same store goes on.
+    disk.set_capacity(None);
+    store.append(hard(3), &[entry(7, 3)]).expect("writes");
+    store.sync().expect("syncs");
+    assert_eq!(open(&disk).1.entries.len(), 7);
+}
+
+#[test]
+fn an_identity_is_drawn_once_and_an_empty_disk_gets_another() {
+    let disk = written(1);
+    let first = open(&disk).1.id;
+    assert_eq!(open(&disk).1.id, first);
+    assert_ne!(open(&Memory::new()).1.id, first);
+}
+
+#[test]
+fn a_folder_of_another_format_is_refused() {
+    let mut disk = Memory::new();
+    disk.append("identity", b"9 0000000000000001\n").expect("writes");
+    let error = Store::open(Box::new(disk)).expect_err("refuses");
+    assert!(matches!(error, Error::Format { .. }), "{error}");
+}
+
+proptest! {
+    #![proptest_config(cases(400))]
+
+    /// Whatever byte is damaged, files are read rightly or refused, never read wrongly.
+    #[test]
+    fn damaged_files_are_never_read_wrongly(place in any::<prop::sample::Index>(), which in any::<prop::sample::Index>()) {
+        let disk = written(6);
+        let names = disk.list().expect("lists");
+        let name = &names[which.index(names.len())];
+        let length = disk.read(name).expect("reads").len();
+        disk.damage(name, place.index(length));
+        let Ok((_, recovered)) = Store::open(Box::new(disk.copy())) else { return Ok(()) };
+        for (i, found) in recovered.entries.iter().enumerate() {
+            prop_assert_eq!(found, &entry(i as u64 + 1, 1));
+        }
+        // Only the last group may be missing, as if it had been torn.
+        prop_assert!(recovered.entries.len() >= 15);
+    }
+
+    /// Any bytes in place of a segment are refused or read as nothing.
+    #[test]
+    fn garbage_is_never_read_as_entries(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
+        let mut disk = Memory::new();
+        open(&disk);
+        disk.append("log-00000000000000000001", &bytes).expect("writes");
+        if let Ok((_, recovered)) = Store::open(Box::new(disk)) {
+            prop_assert_eq!(recovered.entries, []);
+        }
+    }
+}
--- /dev/null
+++ b/crates/pond-test/src/lib.rs
@@ -0,0 +1,9 @@
+//! Helpers for tests: replicas on disks that forget, schedules of failures, small units.
+
+mod cluster;
+mod config;
+mod sample;
+
+pub use cluster::{Cluster, Faults};
+pub use config::cases;
+pub use sample::{job, meta, service, vm};
