Prove the path of requests under faults and never call not run what has run

Cause: a property test over cuts, kills and bad endpoints found that a repeatable request whose offer had run and broken off was told 'not-run' when its time ended while it waited for its retry: the queue's deadline check asked only whether an offer was open now. Ruled out: the endpoint process, which told the fate rightly. Change: a request remembers that an offer of it may have run, and what its caller is told is decided in one place from that. Tables of faults for not repeatable requests, forged answers, leaving endpoints, old links.

--- a/crates/pond-route/src/request.rs
+++ b/crates/pond-route/src/request.rs
@@ -111,6 +111,10 @@
     pub attempts: u32,
     pub offers: Vec<Offered>,
     pub hedged: bool,
+    /// An offer of it may have run.
+    pub ran: bool,
+    /// The answer of an endpoint that failed, in case no other endpoint gives a better one.
+    pub failure: Option<Answer>,
     pub revoked: bool,
     pub not_before: Micros,
     /// The last reason for which it did not run.
@@ -128,9 +132,20 @@
             attempts: 0,
             offers: Vec::new(),
             hedged: false,
+            ran: false,
+            failure: None,
             revoked: false,
             not_before: Micros(0),
             reason: NotRun::NoEndpoint,
         }
     }
+
+    /// What the caller may be told instead of `finish`: what has run is never called not run.
+    pub(crate) fn truth(&mut self, finish: Finish) -> Finish {
+        match (finish, self.failure.take()) {
+            (Finish::NotRun(_) | Finish::Unknown, Some(answer)) => Finish::Answered(answer),
+            (Finish::NotRun(_), None) if self.ran || !self.offers.is_empty() => Finish::Unknown,
+            (finish, _) => finish,
+        }
+    }
 }
--- a/crates/pond-route/src/router.rs
+++ b/crates/pond-route/src/router.rs
@@ -521,6 +521,10 @@
         if failed {
             self.endpoint_failed(now, closed.endpoint);
             if self.may_retry(now, id) {
+                if let Some(flight) = self.flights.get_mut(&id) {
+                    flight.ran = true;
+                    flight.failure = Some(answer);
+                }
                 self.again(now, id, NotRun::NoEndpoint);
                 return;
             }
@@ -564,6 +568,7 @@
         let Some(open) = found.filter(|open| open.state != OfferState::Broken) else { return };
         open.state = OfferState::Broken;
         let key = open.endpoint;
+        flight.ran = true;
         if let Some(endpoint) = self.table.get_mut(key) {
             endpoint.open = endpoint.open.saturating_sub(1);
         }
@@ -766,7 +771,8 @@
 
     /// Ends a request: its caller is told, other offers of it are revoked, its claim is ended.
     fn finish(&mut self, now: Micros, id: RequestId, finish: Finish) {
-        let Some(flight) = self.flights.remove(&id) else { return };
+        let Some(mut flight) = self.flights.remove(&id) else { return };
+        let finish = flight.truth(finish);
         self.open_numbers.remove(&id.number);
         let name = flight.request.content.service.clone();
         for offer in &flight.offers {
--- /dev/null
+++ b/crates/pond-route/tests/faults.rs
@@ -0,0 +1,421 @@
+//! The promises on the path of requests, each with a table of faults.
+
+use pond_proto::Outcome;
+use pond_proto::wire::{Answer, Body, OfferId, RequestId};
+use pond_route::{Finish, NotRun, Tuning};
+use pond_test::{Behaviour, Path, cases};
+use proptest::prelude::*;
+
+const MS: u64 = 1000;
+
+fn path(entries: usize, endpoints: usize) -> Path {
+    Path::new(entries, endpoints, 8, Tuning::default(), 7)
+}
+
+fn body_of(path: &Path, id: RequestId) -> Vec<u8> {
+    match &path.told[&id].finish {
+        Finish::Answered(answer) => answer.body.clone(),
+        other => panic!("{other:?}"),
+    }
+}
+
+fn reason(path: &Path, id: RequestId) -> NotRun {
+    match path.told[&id].finish {
+        Finish::NotRun(reason) => reason,
+        ref other => panic!("{other:?}"),
+    }
+}
+
+/// What befalls a request that is not repeatable, and what its caller may be told.
+struct Case {
+    name: &'static str,
+    /// Applied before the request.
+    before: fn(&mut Path),
+    /// Applied 2 ms after it.
+    after: fn(&mut Path),
+    outcome: Outcome,
+    runs: u32,
+}
+
+const SLOW: Behaviour = Behaviour::Exactly(20 * MS);
+
+fn slow(path: &mut Path) {
+    path.behave(0, SLOW);
+}
+
+/// All slots of the one endpoint are taken, so that the request waits in its queue.
+fn taken(path: &mut Path) {
+    path.behave(0, Behaviour::Exactly(40 * MS));
+    for _ in 0..8 {
+        path.ask(1, true, "", 1000);
+    }
+    path.run_for(500);
+}
+
+const CASES: &[Case] = &[
+    Case { name: "nothing", before: |_| {}, after: |_| {}, outcome: Outcome::Answered, runs: 1 },
+    Case {
+        name: "the link is lost and made again while it runs",
+        before: slow,
+        after: |path| path.cut(0, 0, 5 * MS),
+        outcome: Outcome::Answered,
+        runs: 1,
+    },
+    Case {
+        name: "the link is lost while it runs and made again after it has ended",
+        before: slow,
+        after: |path| path.cut(0, 0, 60 * MS),
+        outcome: Outcome::Answered,
+        runs: 1,
+    },
+    Case {
+        name: "the link is lost for longer than the caller waits",
+        before: slow,
+        after: |path| path.cut(0, 0, 5000 * MS),
+        outcome: Outcome::Unknown,
+        runs: 1,
+    },
+    Case {
+        name: "only the entry notices the loss of the link",
+        before: slow,
+        after: |path| path.cut_at_entry(0, 0, 5 * MS),
+        outcome: Outcome::Answered,
+        runs: 1,
+    },
+    Case {
+        name: "the process dies while it runs",
+        before: slow,
+        after: |path| path.kill(0, 5 * MS),
+        outcome: Outcome::Unknown,
+        runs: 1,
+    },
+    Case {
+        name: "the endpoint breaks the answer off",
+        before: |path| path.behave(0, Behaviour::Break(3 * MS)),
+        after: |_| {},
+        outcome: Outcome::Unknown,
+        runs: 1,
+    },
+    Case {
+        name: "the endpoint fails",
+        before: |path| path.behave(0, Behaviour::Fail(3 * MS)),
+        after: |_| {},
+        outcome: Outcome::Answered,
+        runs: 1,
+    },
+    Case {
+        name: "the endpoint never answers",
+        before: |path| path.behave(0, Behaviour::Silent),
+        after: |_| {},
+        outcome: Outcome::Unknown,
+        runs: 1,
+    },
+    Case {
+        name: "the endpoint cannot be connected to",
+        before: |path| path.behave(0, Behaviour::Unreachable),
+        after: |_| {},
+        outcome: Outcome::NotRun,
+        runs: 0,
+    },
+    Case {
+        name: "its link dies while it waits in the queue, and the endpoint stays busy",
+        before: taken,
+        after: |path| path.cut(0, 0, 3 * MS),
+        outcome: Outcome::Answered,
+        runs: 1,
+    },
+    Case {
+        name: "the process dies while it waits in the queue",
+        before: taken,
+        after: |path| path.kill(0, 3 * MS),
+        outcome: Outcome::Unknown,
+        runs: 0,
+    },
+    Case {
+        name: "the endpoint leaves while it waits in the queue",
+        before: taken,
+        after: |path| path.admission(0).leave(1),
+        outcome: Outcome::NotRun,
+        runs: 0,
+    },
+    Case {
+        name: "the endpoint leaves while it runs",
+        before: slow,
+        after: |path| path.admission(0).leave_all(),
+        outcome: Outcome::Answered,
+        runs: 1,
+    },
+];
+
+#[test]
+fn a_request_that_is_not_repeatable_runs_at_most_once_and_its_caller_is_told_the_truth() {
+    for case in CASES {
+        let mut path = path(2, 1);
+        (case.before)(&mut path);
+        let id = path.ask(0, false, "", 300);
+        path.run_for(2 * MS);
+        (case.after)(&mut path);
+        path.run_for(1000 * MS);
+        let runs = path.runs.get(&id).copied().unwrap_or(0);
+        assert_eq!(path.outcome(id), Some(case.outcome), "{}", case.name);
+        assert_eq!(runs, case.runs, "{}", case.name);
+    }
+}
+
+#[test]
+fn every_caller_gets_the_answer_to_its_own_request() {
+    let mut path = path(2, 3);
+    let ids: Vec<RequestId> = (0..60).map(|i| path.ask(i % 2, true, "", 1000)).collect();
+    path.run_for(1000 * MS);
+    for id in ids {
+        assert_eq!(body_of(&path, id), id.number.to_be_bytes());
+    }
+}
+
+#[test]
+fn answers_that_come_twice_late_or_from_elsewhere_reach_nobody_else() {
+    let forge = |id: RequestId, attempt: u32| {
+        let offer = OfferId { id, attempt };
+        let body = b"forged".to_vec();
+        Body::Answer(Answer { offer, status: 200, body, ..Answer::default() })
+    };
+    type Forgery = fn(RequestId) -> (RequestId, u32);
+    let table: [(&str, Forgery); 4] = [
+        ("of an earlier life of the entry", |id| (RequestId { life: id.life + 1, ..id }, 1)),
+        ("of another number", |id| (RequestId { number: id.number + 1, ..id }, 1)),
+        ("of an offer that was never made", |id| (id, 7)),
+        ("of offer zero", |id| (id, 0)),
+    ];
+    for (name, forgery) in table {
+        let mut path = path(1, 2);
+        slow(&mut path);
+        path.behave(1, SLOW);
+        let id = path.ask(0, false, "", 300);
+        path.run_for(2 * MS);
+        let (other, attempt) = forgery(id);
+        (0..2).for_each(|process| path.inject(0, process, forge(other, attempt)));
+        path.run_for(100 * MS);
+        assert_eq!(body_of(&path, id), id.number.to_be_bytes(), "{name}");
+    }
+}
+
+#[test]
+fn an_answer_from_a_process_that_was_not_asked_is_not_taken() {
+    let mut path = path(1, 2);
+    slow(&mut path);
+    path.behave(1, SLOW);
+    let id = path.ask(0, false, "", 300);
+    path.run_for(2 * MS);
+    let asked = path.starts.iter().position(|starts| *starts > 0).expect("it runs");
+    let offer = OfferId { id, attempt: 1 };
+    let answer = Answer { offer, status: 200, body: b"forged".to_vec(), ..Answer::default() };
+    path.inject(0, 1 - asked, Body::Answer(answer));
+    path.run_for(100 * MS);
+    assert_eq!(body_of(&path, id), id.number.to_be_bytes());
+}
+
+#[test]
+fn an_offer_on_an_old_link_starts_nothing_after_its_fate_was_told() {
+    // The entry loses the link and makes it again; the process reads the offer that was still
+    // under way on the old link, and is then asked for its fate and offered it once more.
+    let mut path = path(1, 1).with_delay(10 * MS);
+    let id = path.ask(0, false, "", 500);
+    path.cut_at_entry(0, 0, 0);
+    path.run_for(1000 * MS);
+    assert_eq!(path.outcome(id), Some(Outcome::Answered));
+    assert_eq!(path.runs.get(&id), Some(&1));
+}
+
+#[test]
+fn a_repeatable_request_that_ran_and_failed_is_never_called_not_run() {
+    for (behaviour, outcome) in
+        [(Behaviour::Break(MS), Outcome::Unknown), (Behaviour::Fail(MS), Outcome::Answered)]
+    {
+        let mut path = path(1, 1);
+        path.behave(0, behaviour);
+        let id = path.ask(0, true, "", 100);
+        path.run_for(500 * MS);
+        assert_eq!(path.outcome(id), Some(outcome), "{behaviour:?}");
+        assert!(path.runs[&id] >= 1);
+    }
+}
+
+#[test]
+fn without_a_quorum_only_repeatable_requests_run() {
+    let mut path = path(1, 2);
+    path.quorum = false;
+    let once = path.ask(0, false, "key", 100);
+    let often = path.ask(0, true, "key", 100);
+    path.run_for(50 * MS);
+    assert_eq!(reason(&path, once), NotRun::NoQuorum);
+    assert_eq!(path.runs.get(&once), None);
+    assert_eq!(path.outcome(often), Some(Outcome::Answered));
+}
+
+#[test]
+fn a_resend_to_another_entry_does_not_run_a_second_time() {
+    let mut path = path(2, 2);
+    (0..2).for_each(|i| path.behave(i, SLOW));
+    let first = path.ask(0, false, "claim-notice-7", 500);
+    path.run_for(MS);
+    let second = path.ask(1, false, "claim-notice-7", 200);
+    path.run_for(1000 * MS);
+    assert_eq!(path.outcome(first), Some(Outcome::Answered));
+    assert_eq!(path.outcome(second), Some(Outcome::Unknown));
+    assert_eq!(path.runs.get(&second), None);
+}
+
+#[test]
+fn a_claimed_request_that_did_not_run_frees_its_key() {
+    let mut path = path(2, 1);
+    path.behave(0, Behaviour::Unreachable);
+    let first = path.ask(0, false, "loan-12", 50);
+    path.run_for(100 * MS);
+    assert_eq!(path.outcome(first), Some(Outcome::NotRun));
+    path.behave(0, Behaviour::Exactly(MS));
+    path.run_for(20_000 * MS);
+    let second = path.ask(1, false, "loan-12", 500);
+    path.run_for(500 * MS);
+    assert_eq!(path.outcome(second), Some(Outcome::Answered));
+}
+
+#[test]
+fn a_leaving_endpoint_gets_nothing_new_even_from_an_entry_cut_off_from_control() {
+    let mut path = path(2, 2);
+    // Only the process of endpoint 0 hears of it; the entries have no newer view.
+    path.admission(0).leave(1);
+    path.run_for(MS);
+    let before = path.starts[0];
+    let ids: Vec<RequestId> = (0..40).map(|i| path.ask(i % 2, false, "", 500)).collect();
+    path.run_for(500 * MS);
+    assert_eq!(path.starts[0], before);
+    assert!(ids.iter().all(|id| path.outcome(*id) == Some(Outcome::Answered)));
+}
+
+#[test]
+fn a_planned_stop_of_an_endpoint_process_cuts_off_nothing() {
+    let mut path = path(2, 2);
+    (0..2).for_each(|i| path.behave(i, SLOW));
+    let ids: Vec<RequestId> = (0..16).map(|i| path.ask(i % 2, false, "", 500)).collect();
+    path.run_for(MS);
+    path.admission(0).leave_all();
+    path.run_for(200 * MS);
+    assert!(ids.iter().all(|id| path.outcome(*id) == Some(Outcome::Answered)));
+    assert_eq!(path.admission(0).under_way(), 0);
+}
+
+#[test]
+fn expired_requests_are_refused_as_not_run_and_never_started() {
+    let mut path = path(1, 1);
+    path.behave(0, Behaviour::Exactly(100 * MS));
+    (0..8).for_each(|_| {
+        path.ask(0, true, "", 1000);
+    });
+    path.run_for(MS);
+    let late = path.ask(0, false, "", 30);
+    path.run_for(500 * MS);
+    assert_eq!(path.outcome(late), Some(Outcome::NotRun));
+    assert_eq!(path.runs.get(&late), None);
+}
+
+#[test]
+fn a_fast_failing_endpoint_attracts_no_traffic() {
+    let mut path = path(2, 10);
+    path.behave(3, Behaviour::Fail(50));
+    path.load(2000.0, 1_000_000, true, 1000);
+    let failing = path.starts[3];
+    let others: u32 = path.starts.iter().sum::<u32>() - failing;
+    assert!(failing * 20 < others, "{failing} of {} starts", failing + others);
+}
+
+#[test]
+fn when_every_endpoint_fails_requests_are_sent_at_most_a_tenth_more_often() {
+    let mut path = path(2, 10);
+    (0..10).for_each(|i| path.behave(i, Behaviour::Fail(500)));
+    path.load(2000.0, 2_000_000, true, 1000);
+    path.run_for(100 * MS);
+    let asked = path.told.len() as f64;
+    let amplification = path.offers as f64 / asked;
+    assert!(amplification <= 1.1 + 20.0 / asked, "{amplification}");
+}
+
+#[test]
+fn a_slow_endpoint_is_given_fewer_requests_and_hedges_cut_its_tail() {
+    let mut path = path(2, 10);
+    path.behave(0, Behaviour::Serve(10 * MS));
+    path.load(2000.0, 2_000_000, true, 1000);
+    path.run_for(200 * MS);
+    let fair = path.starts.iter().sum::<u32>() / 10;
+    assert!(path.starts[0] * 2 < fair, "{:?}", path.starts);
+}
+
+#[test]
+fn near_endpoints_go_first_and_far_ones_take_what_near_ones_cannot() {
+    let mut path = path(1, 4);
+    path.put_view(2, 8, |_| false, |i| if i < 2 { "near" } else { "far" });
+    (0..4).for_each(|i| path.behave(i, SLOW));
+    (0..16).for_each(|_| {
+        path.ask(0, true, "", 1000);
+    });
+    path.run_for(MS);
+    assert_eq!(path.starts, [8, 8, 0, 0]);
+    (0..4).for_each(|_| {
+        path.ask(0, true, "", 1000);
+    });
+    path.run_for(MS);
+    assert_eq!(path.starts[2] + path.starts[3], 4);
+}
+
+#[test]
+fn an_older_view_never_replaces_a_newer_one() {
+    let mut path = path(1, 1);
+    path.put_view(5, 8, |_| true, |_| "near");
+    path.put_view(4, 8, |_| false, |_| "near");
+    assert_eq!(path.router(0).version(), 5);
+    let id = path.ask(0, true, "", 20);
+    path.run_for(100 * MS);
+    assert_eq!(reason(&path, id), NotRun::NoEndpoint);
+}
+
+proptest! {
+    #![proptest_config(cases(150))]
+
+    /// Under any mix of cuts, kills, leaves and bad endpoints no request that is not repeatable
+    /// runs twice, and none that ran is called not run.
+    #[test]
+    fn no_mix_of_faults_breaks_a_promise(
+        seed in any::<u64>(),
+        faults in prop::collection::vec((0..6u8, 0..2usize, 0..4usize, 0..30u64), 0..40),
+    ) {
+        let mut path = Path::new(2, 4, 2, Tuning::default(), seed);
+        (0..4).for_each(|i| path.behave(i, Behaviour::Serve(3 * MS)));
+        let mut ids = Vec::new();
+        for (kind, entry, process, wait) in faults {
+            for i in 0..4 {
+                ids.push((path.ask(i % 2, i == 3, "", 10 + wait * 10), i == 3));
+            }
+            path.run_for(wait * 100);
+            match kind {
+                0 => path.cut(entry, process, wait * MS),
+                1 => path.cut_at_entry(entry, process, wait * MS),
+                2 => path.kill(process, wait * MS),
+                3 => path.behave(process, Behaviour::Break(MS)),
+                4 => path.behave(process, Behaviour::Serve(3 * MS)),
+                _ => path.behave(process, Behaviour::Unreachable),
+            }
+        }
+        path.run_for(10_000 * MS);
+        for (id, repeatable) in ids {
+            let runs = path.runs.get(&id).copied().unwrap_or(0);
+            let outcome = path.outcome(id);
+            prop_assert!(outcome.is_some(), "nobody was told of {id:?}");
+            prop_assert!(repeatable || runs <= 1, "{id:?} ran {runs} times");
+            if outcome == Some(Outcome::NotRun) {
+                prop_assert_eq!(runs, 0, "{:?} was called not run", id);
+            }
+            if outcome == Some(Outcome::Answered) {
+                prop_assert_eq!(body_of(&path, id), id.number.to_be_bytes());
+            }
+        }
+    }
+}
--- a/crates/pond-state/tests/promises.rs
+++ b/crates/pond-state/tests/promises.rs
@@ -135,7 +135,8 @@
 
 #[test]
 fn closed_vms_take_nothing() {
-    let closed: [(&str, fn(&mut State)); 3] = [
+    type Close = fn(&mut State);
+    let closed: [(&str, Close); 3] = [
         ("suspect", |state| {
             let (at, vm, why) = (Millis(1), VmKey(0), String::new());
             state.apply(Change::Judged { at, vm, liveness: Liveness::Suspect, why });
--- a/crates/pond-test/src/lib.rs
+++ b/crates/pond-test/src/lib.rs
@@ -2,8 +2,10 @@
 
 mod cluster;
 mod config;
+mod path;
 mod sample;
 
 pub use cluster::{Cluster, Faults};
 pub use config::cases;
+pub use path::{Behaviour, Path, Told};
 pub use sample::{job, meta, service, vm};
