Test a whole installation, write the pages, add the load tool

Cause: the whole path had been run by hand only. Change: tests that start an installation and kill, restart and drain parts of it under load; the examples of every command as tests; contracts, design notes and operators' pages; the platform's contract as a table of cases; a load tool that checks answers against the endpoints' record.

A stop shut idle connections at once, on which a request may be under way; they linger for half a second now and answers ask the caller to close.

--- a/crates/pond-command/src/command/describe.rs
+++ b/crates/pond-command/src/command/describe.rs
@@ -1,7 +1,7 @@
 //! `pondbay describe`.
 
 use pond_proto::Kind;
-use pond_proto::operator::UnitShown;
+use pond_proto::operator::{ResumeRow, UnitShown};
 
 use super::get::tasks;
 use crate::{Call, Client, Command, Error, Example, Exit, Out, Signature};
@@ -67,7 +67,7 @@
     if let Some(reason) = &shown.reason {
         lines.push(format!("failed:        {reason}"));
     }
-    if let Some((attempt, checkpoint)) = shown.resume {
+    if let Some(ResumeRow { attempt, checkpoint }) = shown.resume {
         lines.push(format!("to resume:     run {attempt} from checkpoint {checkpoint}"));
     }
     lines.push(String::new());
--- a/crates/pond-command/src/command/mod.rs
+++ b/crates/pond-command/src/command/mod.rs
@@ -11,6 +11,7 @@
 mod get;
 mod help;
 mod label;
+mod load;
 mod local;
 mod quota;
 mod role;
@@ -36,6 +37,7 @@
     &quota::Quota,
     &status::Status,
     &audit::Audit,
+    &load::Load,
     &docs::Docs,
     &help::Help,
     &version::Version,
--- a/crates/pond-command/src/error.rs
+++ b/crates/pond-command/src/error.rs
@@ -44,6 +44,14 @@
         /// What was tried.
         what: String,
     },
+    /// The record of runs could not be read.
+    #[snafu(display("{address}: the record of runs cannot be read: {what}"))]
+    Record {
+        /// Where.
+        address: String,
+        /// Why.
+        what: String,
+    },
     /// Output could not be written.
     #[snafu(display("cannot write: {source}"))]
     Write {
--- a/crates/pond-control/src/operator/show.rs
+++ b/crates/pond-control/src/operator/show.rs
@@ -1,6 +1,6 @@
 //! Turns the state into what operators are shown.
 
-use pond_proto::operator::{DecisionRow, TaskRow, UnitRow, UnitShown, VmRow};
+use pond_proto::operator::{DecisionRow, ResumeRow, TaskRow, UnitRow, UnitShown, VmRow};
 use pond_state::{Decision, Phase, Standing, State, Task, UnitRecord, VmRecord};
 
 /// The row of a unit.
@@ -90,7 +90,9 @@
         unit: record.unit.clone(),
         reason,
         tasks: tasks.map(|task| task_row(state, task)).collect(),
-        resume: record.resume.map(|resume| (resume.attempt, resume.checkpoint)),
+        resume: record
+            .resume
+            .map(|resume| ResumeRow { attempt: resume.attempt, checkpoint: resume.checkpoint }),
         decisions: record.decisions.iter().map(decision_row).collect(),
     })
 }
--- a/crates/pond-http/src/server.rs
+++ b/crates/pond-http/src/server.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -19,6 +19,9 @@
 
 use crate::{Call, Reply};
 
+/// How long idle connections are kept after a stop.
+const LINGER: Duration = Duration::from_millis(500);
+
 /// Limits on what a server takes in.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -133,18 +136,32 @@
 
 async fn serve_one(stream: TcpStream, limits: Limits, stop: Stop, handler: Arc<dyn Handler>) {
     let _ = stream.set_nodelay(true);
+    let stopping = stop.clone();
     let service = service_fn(move |request| {
-        let handler = handler.clone();
-        async move { Ok::<_, Infallible>(answer(request, limits, handler.as_ref()).await) }
+        let (handler, stopping) = (handler.clone(), stopping.clone());
+        async move {
+            let mut response = answer(request, limits, handler.as_ref()).await;
+            if stopping.stopped() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.read)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
+    // An idle connection is not shut at once: a request may be on its way on it. While the server
+    // stops, each answer asks the caller to close.
+    let linger = async {
+        stop.wait().await;
+        tokio::time::sleep(LINGER).await;
+    };
     tokio::select! {
         _ = connection.as_mut() => {}
-        () = stop.wait() => {
+        () = linger => {
             connection.as_mut().graceful_shutdown();
             let _ = connection.await;
         }
--- a/crates/pond-local/src/plan.rs
+++ b/crates/pond-local/src/plan.rs
@@ -1,6 +1,7 @@
 //! Who listens where, and the settings of each process.
 
-use std::net::{SocketAddr, TcpListener};
+use std::io::ErrorKind;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 
 use pond_process::Error;
@@ -39,20 +40,48 @@
 /// How far callers' ports are above operators' ports.
 const CALLERS_ABOVE: u16 = 10;
 
-/// An address that users see: a chosen port, or a free one.
-fn shown_address(port: Option<u16>) -> Result<SocketAddr, Error> {
-    match port {
-        None => free_address(),
-        Some(port) => Ok(([127, 0, 0, 1], port).into()),
-    }
+/// The first port that is tried on an installation's own address.
+const FIRST_OWN_PORT: u16 = 10_000;
+
+/// Hands out addresses, each once.
+///
+/// Each installation has a loopback address of its own, so that its ports are not taken by
+/// another one that starts at the same time.
+#[derive(Debug)]
+struct Ports {
+    host: Ipv4Addr,
+    next: u16,
 }
 
-/// An address on loopback that is free now.
-fn free_address() -> Result<SocketAddr, Error> {
-    let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let failed = |source| Error::Listen { address: any.to_string(), source };
-    let listener = TcpListener::bind(any).map_err(failed)?;
-    listener.local_addr().map_err(failed)
+impl Ports {
+    fn new() -> Ports {
+        let [a, b, c, _] = rand::random::<[u8; 4]>();
+        let host = Ipv4Addr::new(127, a.clamp(1, 254), b, c.clamp(1, 254));
+        Ports { host, next: FIRST_OWN_PORT }
+    }
+
+    /// The next address that is free now.
+    fn free(&mut self) -> Result<SocketAddr, Error> {
+        loop {
+            let address = SocketAddr::from((self.host, self.next));
+            self.next += 1;
+            match TcpListener::bind(address) {
+                Ok(_) => return Ok(address),
+                Err(error) if error.kind() == ErrorKind::AddrInUse && self.next < u16::MAX => {}
+                Err(source) => {
+                    return Err(Error::Listen { address: address.to_string(), source });
+                }
+            }
+        }
+    }
+
+    /// An address that users see: a chosen port, or a free one.
+    fn shown(&mut self, port: Option<u16>) -> Result<SocketAddr, Error> {
+        match port {
+            None => self.free(),
+            Some(port) => Ok(([127, 0, 0, 1], port).into()),
+        }
+    }
 }
 
 impl Plan {
@@ -65,17 +94,19 @@
         options: &Options,
         folder: &Path,
     ) -> Result<Plan, Error> {
+        let mut ports = Ports::new();
         let port = |above: u16, i: u32| options.first_port.map(|first| first + above + i as u16);
         let centre = |i: usize| {
             let centres = &installation.data_centres;
             centres[i % centres.len()].name.clone()
         };
         let entry_addresses: Vec<SocketAddr> = (0..installation.entries)
-            .map(|i| shown_address(port(CALLERS_ABOVE, i)))
+            .map(|i| ports.shown(port(CALLERS_ABOVE, i)))
+            .collect::<Result<_, _>>()?;
+        let replicas: Vec<Replica> = (0..installation.control)
+            .map(|i| replica(&mut ports, i, port(0, i)))
             .collect::<Result<_, _>>()?;
-        let replicas: Vec<Replica> =
-            (0..installation.control).map(|i| replica(i, port(0, i))).collect::<Result<_, _>>()?;
-        let list = free_address()?;
+        let list = ports.free()?;
         let process = |name: String, data_centre: String, role: Role| Process {
             name,
             data_centre,
@@ -100,7 +131,7 @@
             let role = Role::Entry(Entry { callers: *address, default_deadline_ms: 10_000 });
             process(format!("entry-{}", i + 1), centre(i), role)
         });
-        let vms = plan_vms(installation)?;
+        let vms = plan_vms(installation, &mut ports)?;
         let endpoints = vms.iter().map(|vm| {
             let parsed = vm.endpoint_process.as_deref().and_then(|address| address.parse().ok());
             let internal = parsed.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0)));
@@ -117,23 +148,28 @@
     }
 }
 
-fn replica(i: u32, port: Option<u16>) -> Result<Replica, Error> {
+fn replica(ports: &mut Ports, i: u32, port: Option<u16>) -> Result<Replica, Error> {
     let name = format!("control-{}", i + 1);
-    Ok(Replica { name, internal: free_address()?, operator: shown_address(port)? })
+    Ok(Replica { name, internal: ports.free()?, operator: ports.shown(port)? })
 }
 
-fn plan_vms(installation: &Installation) -> Result<Vec<Vm>, Error> {
+fn plan_vms(installation: &Installation, ports: &mut Ports) -> Result<Vec<Vm>, Error> {
     let mut vms = Vec::new();
     for group in &installation.vms {
         for i in 0..group.count {
-            vms.push(plan_vm(installation, group, i)?);
+            vms.push(plan_vm(installation, group, i, ports)?);
         }
     }
     Ok(vms)
 }
 
 /// One VM. Racks are filled one after the other; the racks go round the data centres.
-fn plan_vm(installation: &Installation, group: &VmGroup, i: u32) -> Result<Vm, Error> {
+fn plan_vm(
+    installation: &Installation,
+    group: &VmGroup,
+    i: u32,
+    ports: &mut Ports,
+) -> Result<Vm, Error> {
     let rack = i / group.per_rack;
     let centres = &installation.data_centres;
     let centre = &centres[rack as usize % centres.len()].name;
@@ -144,8 +180,8 @@
         name: format!("{}-{}", group.name, i + 1),
         labels,
         size: group.size,
-        worker: free_address()?.to_string(),
-        endpoint_process: Some(free_address()?.to_string()),
+        worker: ports.free()?.to_string(),
+        endpoint_process: Some(ports.free()?.to_string()),
         presence: Presence::Live,
     })
 }
--- a/crates/pond-local/src/standins.rs
+++ b/crates/pond-local/src/standins.rs
@@ -44,7 +44,7 @@
             hosts.insert(vm.name.clone(), host);
         }
         let list_listener = listen(plan.list)?;
-        let record_listener = listen(([127, 0, 0, 1], 0).into())?;
+        let record_listener = listen((plan.list.ip(), 0).into())?;
         let record_address = record_listener.local_addr().unwrap_or(plan.list);
         let mut threads = Threads::new();
         let (thread_list, thread_stop, thread_record) =
--- a/crates/pond-platform/src/lib.rs
+++ b/crates/pond-platform/src/lib.rs
@@ -4,6 +4,7 @@
 //! write the other side in `docs/contracts/platform.md`.
 
 mod border;
+pub mod contract;
 mod http;
 mod message;
 
--- a/crates/pond-proto/src/operator.rs
+++ b/crates/pond-proto/src/operator.rs
@@ -165,6 +165,15 @@
     pub next_best: Option<String>,
 }
 
+/// An eviction that a resume has not yet consumed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct ResumeRow {
+    /// The run that was evicted.
+    pub attempt: u32,
+    /// How far it came.
+    pub checkpoint: u64,
+}
+
 /// All that is known of a unit.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 pub struct UnitShown {
@@ -176,8 +185,8 @@
     pub reason: Option<String>,
     /// Its tasks.
     pub tasks: Vec<TaskRow>,
-    /// The open eviction: the run that was evicted and its checkpoint.
-    pub resume: Option<(u32, u64)>,
+    /// The open eviction, if there is one.
+    pub resume: Option<ResumeRow>,
     /// The last decisions, oldest first.
     pub decisions: Vec<DecisionRow>,
 }
--- a/crates/pond-test/src/path.rs
+++ b/crates/pond-test/src/path.rs
@@ -231,7 +231,13 @@
     }
 
     /// A caller asks; the identity of its request.
-    pub fn ask(&mut self, entry: usize, repeatable: bool, key: &str, deadline_ms: u64) -> RequestId {
+    pub fn ask(
+        &mut self,
+        entry: usize,
+        repeatable: bool,
+        key: &str,
+        deadline_ms: u64,
+    ) -> RequestId {
         self.next_number += 1;
         let id = RequestId { life: entry as u64 + 100, number: self.next_number };
         let now = Micros(self.now);
@@ -361,7 +367,7 @@
             Happening::ToEntry { entry, process, epoch, body } => {
                 let link = self.links.get(&(entry, process)).copied().unwrap_or_default();
                 if link.up && link.epoch == epoch {
-                    self.to_entry(entry, process, body);
+                    self.reach_entry(entry, process, body);
                 }
             }
             Happening::ToProcess { process, entry, epoch, body } => {
@@ -404,7 +410,7 @@
         }
     }
 
-    fn to_entry(&mut self, entry: usize, process: usize, body: Body) {
+    fn reach_entry(&mut self, entry: usize, process: usize, body: Body) {
         let now = Micros(self.now);
         let Some(key) = self.key_of(entry, process) else { return };
         let router = &mut self.entries[entry];
@@ -445,16 +451,16 @@
             Output::Offer { process, offer } => {
                 let name = OfferId { id: offer.id, attempt: offer.attempt };
                 self.offers += 1;
-                if !self.to_process(entry, process, Body::Offer(offer)) {
+                if !self.send(entry, process, Body::Offer(offer)) {
                     self.entries[entry].not_sent(now, name);
                 }
             }
             Output::Revoke { process, offer } => {
-                self.to_process(entry, process, Body::Revoke(offer));
+                self.send(entry, process, Body::Revoke(offer));
             }
             Output::AskFate { process, offers } => {
                 let ask = pond_proto::wire::FateAsk { offers };
-                self.to_process(entry, process, Body::FateAsk(ask));
+                self.send(entry, process, Body::FateAsk(ask));
             }
             Output::Claim(ask) => {
                 if !self.quorum {
@@ -462,8 +468,7 @@
                 }
                 let holder = *self.claims.entry(ask.key).or_insert(ask.id);
                 let verdict = if holder == ask.id { Verdict::Granted } else { Verdict::Held };
-                let tell =
-                    ClaimTell { ticket: ask.ticket, verdict: verdict as i32, answer: None };
+                let tell = ClaimTell { ticket: ask.ticket, verdict: verdict as i32, answer: None };
                 self.entries[entry].claim_told(now, tell);
             }
             Output::EndClaim(end) => {
@@ -485,12 +490,11 @@
         }
     }
 
-    fn to_process(&mut self, entry: usize, process: ProcessKey, body: Body) -> bool {
+    fn send(&mut self, entry: usize, process: ProcessKey, body: Body) -> bool {
         let Some(place) = self.keys.get(&(entry, process)).copied() else { return false };
         let link = self.links.get(&(entry, place)).copied().unwrap_or_default();
         if link.up {
-            let happening =
-                Happening::ToProcess { process: place, entry, epoch: link.epoch, body };
+            let happening = Happening::ToProcess { process: place, entry, epoch: link.epoch, body };
             self.schedule(self.delay_us, happening);
         }
         link.up
