Keep slots busy over slow links and forget what others had at an endpoint

Two reasons, both in what the entry takes as full: the load in an answer counted for ever, so an endpoint with no open offer of this entry was never tried again; and offers on the link counted as if they held a slot. Ruled out: the endpoint's queue, which was mostly empty. Change: what others had counts only as long as their requests may run; the limit of an entry is the slots and what fits on the link meanwhile, from the measured times; each request has one time to be looked at again, so that a tick no longer walks all of them. Endpoints can also grant slots, for comparison.

--- a/crates/pond-proto/src/wire.rs
+++ b/crates/pond-proto/src/wire.rs
@@ -139,6 +139,9 @@
     /// Why.
     #[prost(enumeration = "Refusal", tag = "2")]
     pub refusal: i32,
+    /// Offers that the entry may have open at the endpoint from now on; see [`Answer::grant`].
+    #[prost(uint32, tag = "3")]
+    pub grant: u32,
 }
 
 /// The endpoint's whole answer.
@@ -162,6 +165,13 @@
     /// Offers running and queued at the endpoint when the answer left.
     #[prost(uint32, tag = "6")]
     pub load: u32,
+    /// Offers that the entry may have open at the endpoint from now on: what it has there and its
+    /// share of the free slots.
+    #[prost(uint32, tag = "7")]
+    pub grant: u32,
+    /// Microseconds that the offer waited for a slot.
+    #[prost(uint32, tag = "8")]
+    pub queue_us: u32,
 }
 
 /// The offer started, and its answer was lost.
--- a/crates/pond-route/src/admission.rs
+++ b/crates/pond-route/src/admission.rs
@@ -50,8 +50,8 @@
 /// Where an offer stands.
 #[derive(Clone, Debug)]
 enum State {
-    Queued { task: u64, content: Content },
-    Running { task: u64, started: Micros },
+    Queued { task: u64, content: Content, arrived: Micros },
+    Running { task: u64, arrived: Micros, started: Micros },
     Done(Answer),
     Lost,
 }
@@ -62,12 +62,25 @@
     deadline: Micros,
 }
 
+/// What is known of an offer that has ended.
+struct Released {
+    task: u64,
+    arrived: Micros,
+    started: Micros,
+}
+
+fn clamp(us: u64) -> u32 {
+    us.min(u64::from(u32::MAX)) as u32
+}
+
 /// One endpoint behind the process.
 #[derive(Clone, Debug, Default)]
 struct Endpoint {
     address: String,
     slots: u32,
     running: u32,
+    /// Running offers by their entry's life.
+    held: BTreeMap<u64, u32>,
     queue: VecDeque<OfferId>,
     leaving: bool,
     gone: bool,
@@ -169,7 +182,7 @@
         let waiting: Vec<OfferId> = endpoint.queue.drain(..).collect();
         for offer in waiting {
             self.offers.remove(&offer);
-            self.refuse(offer, Refusal::Leaving);
+            self.refuse(offer, task, Refusal::Leaving);
         }
         self.tell_all(Body::Leave(Leave { task }));
     }
@@ -237,11 +250,11 @@
             return;
         }
         if let Some(refusal) = self.refusal(&offer) {
-            self.refuse(name, refusal);
+            self.refuse(name, offer.task, refusal);
             return;
         }
         let deadline = now.plus_ms(u64::from(offer.remaining_ms));
-        let state = State::Queued { task: offer.task, content: offer.content };
+        let state = State::Queued { task: offer.task, content: offer.content, arrived: now };
         self.offers.insert(name, Held { state, deadline });
         if let Some(endpoint) = self.endpoints.get_mut(&offer.task) {
             endpoint.queue.push_back(name);
@@ -281,8 +294,9 @@
         (held >= room).then_some(Refusal::Full)
     }
 
-    fn refuse(&mut self, offer: OfferId, refusal: Refusal) {
-        let refuse = Refuse { offer, refusal: refusal as i32 };
+    fn refuse(&mut self, offer: OfferId, task: u64, refusal: Refusal) {
+        let grant = self.grant(task, offer.id.life);
+        let refuse = Refuse { offer, refusal: refusal as i32, grant };
         self.send_to_life(offer.id.life, Body::Refuse(refuse));
     }
 
@@ -302,13 +316,15 @@
             let Some(held) = self.offers.get_mut(&name) else { continue };
             if now >= held.deadline {
                 self.offers.remove(&name);
-                self.refuse(name, Refusal::Expired);
+                self.refuse(name, task, Refusal::Expired);
                 continue;
             }
             endpoint.running += 1;
+            *endpoint.held.entry(name.id.life).or_default() += 1;
             let address = endpoint.address.clone();
             let deadline = held.deadline;
-            let running = State::Running { task, started: now };
+            let State::Queued { arrived, .. } = held.state else { continue };
+            let running = State::Running { task, arrived, started: now };
             let State::Queued { content, .. } = std::mem::replace(&mut held.state, running) else {
                 continue;
             };
@@ -331,7 +347,7 @@
         if let Some(endpoint) = self.endpoints.get_mut(&task) {
             endpoint.queue.retain(|other| *other != offer);
         }
-        self.refuse(offer, Refusal::Revoked);
+        self.refuse(offer, task, Refusal::Revoked);
     }
 
     /// The endpoint gave its whole answer.
@@ -343,14 +359,17 @@
         content_type: String,
         body: Vec<u8>,
     ) {
-        let Some((task, started)) = self.release(now, offer) else { return };
+        let Some(released) = self.release(now, offer) else { return };
+        let Released { task, arrived, started } = released;
         let answer = Answer {
             offer,
             status,
             content_type,
             body,
-            service_us: now.since(started).min(u64::from(u32::MAX)) as u32,
+            service_us: clamp(now.since(started)),
+            queue_us: clamp(started.since(arrived)),
             load: self.load(task),
+            grant: self.grant(task, offer.id.life),
         };
         self.keep(offer, State::Done(answer.clone()));
         self.send_to_life(offer.id.life, Body::Answer(answer));
@@ -358,9 +377,9 @@
 
     /// The call surely did not reach the endpoint: the offer did not run.
     pub fn unreachable(&mut self, now: Micros, offer: OfferId) {
-        if self.release(now, offer).is_some() {
+        if let Some(Released { task, .. }) = self.release(now, offer) {
             self.offers.remove(&offer);
-            self.refuse(offer, Refusal::Unreachable);
+            self.refuse(offer, task, Refusal::Unreachable);
         }
     }
 
@@ -372,18 +391,34 @@
         }
     }
 
-    /// Gives the slot of an offer back; its endpoint and when it started.
-    fn release(&mut self, now: Micros, offer: OfferId) -> Option<(u64, Micros)> {
+    /// Gives the slot of an offer back.
+    fn release(&mut self, now: Micros, offer: OfferId) -> Option<Released> {
         let held = self.offers.get(&offer)?;
-        let State::Running { task, started } = held.state else { return None };
+        let State::Running { task, arrived, started } = held.state else { return None };
         if let Some(endpoint) = self.endpoints.get_mut(&task) {
             endpoint.running = endpoint.running.saturating_sub(1);
+            if let Some(held) = endpoint.held.get_mut(&offer.id.life) {
+                *held -= 1;
+                if *held == 0 {
+                    endpoint.held.remove(&offer.id.life);
+                }
+            }
             if endpoint.gone && endpoint.running == 0 {
                 self.endpoints.remove(&task);
             }
         }
         self.start_queued(now, task);
-        Some((task, started))
+        Some(Released { task, arrived, started })
+    }
+
+    /// How many offers an entry may have open at an endpoint: what it has there, and its share of
+    /// what is free. At least one, so that every entry hears of the endpoint again.
+    fn grant(&self, task: u64, life: u64) -> u32 {
+        let Some(endpoint) = self.endpoints.get(&task) else { return 1 };
+        let held = endpoint.held.get(&life).copied().unwrap_or(0);
+        let free = endpoint.slots.saturating_sub(endpoint.running + endpoint.queue.len() as u32);
+        let entries = self.links.len().max(1) as u32;
+        (held + free.div_ceil(entries)).max(1)
     }
 
     fn load(&self, task: u64) -> u32 {
@@ -445,11 +480,14 @@
             .copied()
             .collect();
         for offer in expired {
-            for endpoint in self.endpoints.values_mut() {
+            let Some(Held { state: State::Queued { task, .. }, .. }) = self.offers.remove(&offer)
+            else {
+                continue;
+            };
+            if let Some(endpoint) = self.endpoints.get_mut(&task) {
                 endpoint.queue.retain(|other| *other != offer);
             }
-            self.offers.remove(&offer);
-            self.refuse(offer, Refusal::Expired);
+            self.refuse(offer, task, Refusal::Expired);
         }
         while self.kept.front().is_some_and(|(until, _)| now >= *until) {
             self.forget_oldest();
--- a/crates/pond-route/src/endpoint.rs
+++ b/crates/pond-route/src/endpoint.rs
@@ -4,9 +4,9 @@
 
 use pond_proto::Micros;
 use pond_proto::view;
+use pond_proto::wire::Answer;
 
 use crate::health::{Health, Standing};
-use crate::latency::Latency;
 
 /// Names an endpoint in the router's table: its task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -16,6 +16,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ProcessKey(pub u32);
 
+/// Weight of a new sample in smoothed times.
+const WEIGHT: f64 = 0.05;
+
+/// Offers on the link at most, for each slot.
+const ON_LINK_LIMIT: u32 = 8;
+
 /// One endpoint.
 #[derive(Clone, Debug)]
 pub struct Endpoint {
@@ -35,10 +41,16 @@
     pub slots: u32,
     /// Offers of this entry that are open there.
     pub open: u32,
-    /// Offers of all entries there, as of its last answer.
-    pub load: u32,
-    /// Latencies of its answers, from offer to answer.
-    pub latency: Latency,
+    /// Offers of other entries there, as of its last answer.
+    pub others: u32,
+    /// When that answer came.
+    pub others_at: Micros,
+    /// Smoothed time of an offer and its answer on the link, in microseconds.
+    pub link_us: f64,
+    /// Smoothed time in a slot, in microseconds.
+    pub service_us: f64,
+    /// Offers that this entry may have open there, as its process last said.
+    pub grant: u32,
     /// The evidence on it.
     pub health: Health,
     /// Until when it is taken as full, after a refusal.
@@ -56,8 +68,11 @@
             refused: false,
             slots: 1,
             open: 0,
-            load: 0,
-            latency: Latency::default(),
+            others: 0,
+            others_at: Micros(0),
+            link_us: 0.0,
+            service_us: 1000.0,
+            grant: 1,
             health: Health::default(),
             full_until: Micros(0),
         }
@@ -75,15 +90,41 @@
         }
     }
 
-    /// Whether its slots seem to be taken.
-    pub fn full(&self, now: Micros) -> bool {
-        now < self.full_until || self.open.max(self.load) >= self.slots
+    /// Offers there as far as this entry can tell. What others had there is believed for as long
+    /// as their requests may still run, so that an entry that hears nothing tries again.
+    pub fn taken(&self, now: Micros) -> u32 {
+        let fresh = now.since(self.others_at) as f64 <= self.link_us + 2.0 * self.service_us;
+        self.open + if fresh { self.others } else { 0 }
+    }
+
+    /// Offers that keep its slots busy: one for each slot, and those that are on the link
+    /// meanwhile.
+    pub fn limit(&self) -> u32 {
+        let on_link = f64::from(self.slots) * self.link_us / self.service_us.max(1.0);
+        self.slots + (on_link.ceil() as u32).min(self.slots * ON_LINK_LIMIT)
+    }
+
+    /// Whether its slots seem to be taken; by what was granted, if that counts.
+    pub fn full(&self, now: Micros, granted: bool) -> bool {
+        let taken = if granted { self.open >= self.grant } else { self.taken(now) >= self.limit() };
+        now < self.full_until || taken
+    }
+
+    /// What a request must expect there, in microseconds.
+    pub fn cost(&self, now: Micros) -> f64 {
+        let ahead = f64::from(self.taken(now)) / f64::from(self.slots);
+        self.link_us + self.service_us * (1.0 + ahead)
     }
 
-    /// What a request must expect there: smoothed latency times the requests before it.
-    pub fn cost(&self) -> f64 {
-        let latency = self.latency.mean().unwrap_or(1.0);
-        f64::from(self.open.max(self.load) + 1) * latency
+    /// Takes in an answer that came `latency_us` after its offer.
+    pub fn learn(&mut self, now: Micros, latency_us: u64, answer: &Answer) {
+        let inside = u64::from(answer.service_us) + u64::from(answer.queue_us);
+        let link_us = latency_us.saturating_sub(inside) as f64;
+        self.link_us += WEIGHT * (link_us - self.link_us);
+        self.service_us += WEIGHT * (f64::from(answer.service_us) - self.service_us);
+        self.others = answer.load.saturating_sub(self.open);
+        self.others_at = now;
+        self.grant = answer.grant;
     }
 }
 
--- a/crates/pond-route/src/policy.rs
+++ b/crates/pond-route/src/policy.rs
@@ -1,5 +1,6 @@
 //! Ways to choose one endpoint among those that may get a request.
 
+use pond_proto::Micros;
 use rand::Rng;
 use rand::rngs::SmallRng;
 
@@ -8,7 +9,7 @@
 /// Chooses an endpoint.
 pub trait Policy: std::fmt::Debug + Send {
     /// Chooses one of the candidates, of which there is at least one.
-    fn pick(&mut self, candidates: &[&Endpoint], rng: &mut SmallRng) -> EndpointKey;
+    fn pick(&mut self, now: Micros, candidates: &[&Endpoint], rng: &mut SmallRng) -> EndpointKey;
 }
 
 /// The policies that there are.
@@ -20,6 +21,8 @@
     LeastOpen,
     /// Of two at random, the one with the lower expected cost.
     TwoChoices,
+    /// The one whose process has granted the most slots that are not yet used.
+    Grants,
 }
 
 impl PolicyKind {
@@ -29,6 +32,7 @@
             PolicyKind::Random => Box::new(Random),
             PolicyKind::LeastOpen => Box::new(LeastOpen),
             PolicyKind::TwoChoices => Box::new(TwoChoices),
+            PolicyKind::Grants => Box::new(Grants),
         }
     }
 }
@@ -37,7 +41,7 @@
 struct Random;
 
 impl Policy for Random {
-    fn pick(&mut self, candidates: &[&Endpoint], rng: &mut SmallRng) -> EndpointKey {
+    fn pick(&mut self, _now: Micros, candidates: &[&Endpoint], rng: &mut SmallRng) -> EndpointKey {
         candidates[rng.random_range(0..candidates.len())].key
     }
 }
@@ -46,18 +50,30 @@
 struct LeastOpen;
 
 impl Policy for LeastOpen {
-    fn pick(&mut self, candidates: &[&Endpoint], rng: &mut SmallRng) -> EndpointKey {
+    fn pick(&mut self, _now: Micros, candidates: &[&Endpoint], rng: &mut SmallRng) -> EndpointKey {
         let least = candidates.iter().map(|endpoint| endpoint.open).min().unwrap_or(0);
         let tied: Vec<_> = candidates.iter().filter(|endpoint| endpoint.open == least).collect();
         tied[rng.random_range(0..tied.len())].key
     }
 }
 
+#[derive(Debug)]
+struct Grants;
+
+impl Policy for Grants {
+    fn pick(&mut self, _now: Micros, candidates: &[&Endpoint], rng: &mut SmallRng) -> EndpointKey {
+        let unused = |endpoint: &Endpoint| endpoint.grant.saturating_sub(endpoint.open);
+        let most = candidates.iter().map(|endpoint| unused(endpoint)).max().unwrap_or(0);
+        let tied: Vec<_> = candidates.iter().filter(|endpoint| unused(endpoint) == most).collect();
+        tied[rng.random_range(0..tied.len())].key
+    }
+}
+
 #[derive(Debug)]
 struct TwoChoices;
 
 impl Policy for TwoChoices {
-    fn pick(&mut self, candidates: &[&Endpoint], rng: &mut SmallRng) -> EndpointKey {
+    fn pick(&mut self, now: Micros, candidates: &[&Endpoint], rng: &mut SmallRng) -> EndpointKey {
         let first = rng.random_range(0..candidates.len());
         if candidates.len() == 1 {
             return candidates[0].key;
@@ -65,6 +81,6 @@
         let step = rng.random_range(1..candidates.len());
         let second = (first + step) % candidates.len();
         let (a, b) = (candidates[first], candidates[second]);
-        if a.cost() <= b.cost() { a.key } else { b.key }
+        if a.cost(now) <= b.cost(now) { a.key } else { b.key }
     }
 }
--- a/crates/pond-route/src/request.rs
+++ b/crates/pond-route/src/request.rs
@@ -117,6 +117,8 @@
     pub failure: Option<Answer>,
     pub revoked: bool,
     pub not_before: Micros,
+    /// When it is looked at again.
+    pub wake: Micros,
     /// The last reason for which it did not run.
     pub reason: NotRun,
 }
@@ -136,6 +138,7 @@
             failure: None,
             revoked: false,
             not_before: Micros(0),
+            wake: Micros(0),
             reason: NotRun::NoEndpoint,
         }
     }
--- a/crates/pond-route/src/router.rs
+++ b/crates/pond-route/src/router.rs
@@ -55,6 +55,9 @@
 /// How long until a claim that another request holds is asked again, in microseconds.
 const HELD_US: u64 = 50_000;
 
+/// The shortest time after which a request is hedged, in microseconds.
+const HEDGE_LEAST_US: u64 = 1_000;
+
 /// Answers needed before hedging starts.
 const HEDGE_SAMPLES: u32 = 100;
 
@@ -116,6 +119,8 @@
     services: BTreeMap<String, Service>,
     flights: HashMap<RequestId, Flight>,
     open_numbers: BTreeSet<u64>,
+    /// When each request is looked at again.
+    wakes: BTreeSet<(Micros, RequestId)>,
     tickets: HashMap<u64, RequestId>,
     next_ticket: u64,
     term: u64,
@@ -137,6 +142,7 @@
             services: BTreeMap::new(),
             flights: HashMap::new(),
             open_numbers: BTreeSet::new(),
+            wakes: BTreeSet::new(),
             tickets: HashMap::new(),
             next_ticket: 1,
             term: 0,
@@ -244,6 +250,7 @@
         self.open_numbers.insert(id.number);
         if claims {
             self.ask_claim(id);
+            self.plan_wake(now, id);
         } else {
             self.enqueue(now, id);
         }
@@ -302,6 +309,7 @@
                 // Another request with this key is under way; its answer may come in time.
                 flight.held = true;
                 flight.not_before = now + HELD_US;
+                self.plan_wake(now, id);
             }
             Verdict::Ended => self.finish(now, id, Finish::Unknown),
             Verdict::Mismatch => self.finish(now, id, Finish::NotRun(NotRun::KeyReused)),
@@ -325,10 +333,16 @@
         tickets.into_iter().for_each(|ticket| self.claim_failed(now, ticket));
     }
 
+    /// Puts a request into its service's queue, now or at its time.
     fn enqueue(&mut self, now: Micros, id: RequestId) {
         let Some(flight) = self.flights.get_mut(&id) else { return };
         flight.stage = Stage::Waiting;
         let service = flight.request.content.service.clone();
+        let ready = flight.not_before <= now;
+        self.plan_wake(now, id);
+        if !ready {
+            return;
+        }
         if let Some(service) = self.services.get_mut(&service) {
             service.waiting.push_back(id);
         }
@@ -336,59 +350,54 @@
     }
 
     fn offer_all_waiting(&mut self, now: Micros) {
-        let names: Vec<String> = self
-            .services
-            .iter()
-            .filter(|(_, service)| !service.waiting.is_empty())
-            .map(|(name, _)| name.clone())
-            .collect();
+        let waiting = self.services.iter().filter(|(_, service)| !service.waiting.is_empty());
+        let names: Vec<String> = waiting.map(|(name, _)| name.clone()).collect();
         names.iter().for_each(|name| self.offer_waiting(now, name));
     }
 
-    /// Offers waiting requests of a service as long as an endpoint is free.
+    /// Offers waiting requests of a service, oldest first, as long as an endpoint is free.
     fn offer_waiting(&mut self, now: Micros, name: &str) {
-        let Some(service) = self.services.get_mut(name) else { return };
-        let mut waiting = std::mem::take(&mut service.waiting);
-        let mut left = std::collections::VecDeque::new();
-        while let Some(id) = waiting.pop_front() {
-            let Some(flight) = self.flights.get(&id).filter(|f| f.stage == Stage::Waiting) else {
-                continue;
-            };
-            if now >= flight.request.deadline {
-                let reason = expired_reason(flight);
-                self.finish(now, id, Finish::NotRun(reason));
-                continue;
+        while let Some(id) = self.services.get(name).and_then(|s| s.waiting.front().copied()) {
+            let flight = self.flights.get(&id).filter(|flight| flight.stage == Stage::Waiting);
+            let deadline = flight.map(|flight| flight.request.deadline);
+            let stays = deadline.is_some_and(|deadline| now < deadline);
+            if stays && !self.offer_one(now, id) {
+                return;
             }
-            if flight.not_before > now || !self.offer_one(now, id) {
-                left.push_back(id);
-                if flight_blocks(self.flights.get(&id), now) {
-                    break;
-                }
+            if let Some(service) = self.services.get_mut(name) {
+                service.waiting.pop_front();
+            }
+            if deadline.is_some() && !stays {
+                self.expire(now, id);
             }
-        }
-        left.append(&mut waiting);
-        if let Some(service) = self.services.get_mut(name) {
-            left.append(&mut service.waiting);
-            service.waiting = left;
         }
     }
 
     /// Offers a request to the best free endpoint; false if there is none.
+    ///
+    /// One that was tried before is taken only if no other is free, and never while an offer is
+    /// still open there.
     fn offer_one(&mut self, now: Micros, id: RequestId) -> bool {
         let Some(flight) = self.flights.get(&id) else { return false };
+        let open = flight.offers.iter().filter(|offer| offer.state != OfferState::Broken);
+        let open: Vec<EndpointKey> = open.map(|offer| offer.endpoint).collect();
         let tried: Vec<EndpointKey> = flight.offers.iter().map(|offer| offer.endpoint).collect();
         let service = flight.request.content.service.clone();
-        let Some(endpoint) = self.choose(now, &service, &tried) else { return false };
+        let choice = self
+            .choose(now, &service, &tried)
+            .or_else(|| if tried == open { None } else { self.choose(now, &service, &open) });
+        let Some(endpoint) = choice else { return false };
         self.offer_to(now, id, endpoint);
         true
     }
 
     /// The endpoint for a request: a free one near by, else a free one elsewhere.
     fn choose(&mut self, now: Micros, service: &str, tried: &[EndpointKey]) -> Option<EndpointKey> {
+        let granted = self.tuning.policy == PolicyKind::Grants;
         let usable = |endpoint: &&Endpoint| {
             let up = self.table.process(endpoint.process).is_some_and(|p| p.life.is_some());
             up && endpoint.open_to_requests(now)
-                && !endpoint.full(now)
+                && !endpoint.full(now, granted)
                 && !tried.contains(&endpoint.key)
         };
         let all: Vec<&Endpoint> = self.table.of_service(service).filter(usable).collect();
@@ -397,7 +406,7 @@
         if candidates.is_empty() {
             return None;
         }
-        Some(self.policy.pick(candidates, &mut self.rng))
+        Some(self.policy.pick(now, candidates, &mut self.rng))
     }
 
     fn offer_to(&mut self, now: Micros, id: RequestId, key: EndpointKey) {
@@ -422,6 +431,7 @@
             oldest_open,
         };
         self.outputs.push(Output::Offer { process, offer });
+        self.plan_wake(now, id);
     }
 
     /// Takes an offer out of its request and gives its place at the endpoint back.
@@ -455,6 +465,7 @@
         let Some(closed) = self.close(refuse.offer) else { return };
         let refusal = refuse.refusal();
         if let Some(endpoint) = self.table.get_mut(closed.endpoint) {
+            endpoint.grant = refuse.grant;
             match refusal {
                 Refusal::Full => endpoint.full_until = now + FULL_US,
                 Refusal::Leaving | Refusal::NoEndpoint => endpoint.refused = true,
@@ -511,10 +522,9 @@
         let taken_us = now.since(closed.at);
         let failed = answer.status >= 500;
         if let Some(endpoint) = self.table.get_mut(closed.endpoint) {
-            endpoint.load = answer.load;
+            // A fast failure must not make the endpoint look fast.
             if !failed {
-                // A fast failure must not make the endpoint look fast.
-                endpoint.latency.add(taken_us);
+                endpoint.learn(now, taken_us, &answer);
                 endpoint.health.succeed();
             }
         }
@@ -677,34 +687,57 @@
         }
     }
 
+    /// Sets when a request is looked at again without anything happening to it.
+    fn plan_wake(&mut self, now: Micros, id: RequestId) {
+        let Some(flight) = self.flights.get(&id) else { return };
+        let mut wake = flight.request.deadline;
+        if flight.not_before > now {
+            wake = wake.min(flight.not_before);
+        }
+        if flight.stage == Stage::Offered && !flight.revoked {
+            wake = wake.min(self.revoke_at(flight));
+        }
+        wake = self.hedge_at(flight).map_or(wake, |at| wake.min(at));
+        let wake = wake.max(now + 1);
+        let Some(flight) = self.flights.get_mut(&id) else { return };
+        self.wakes.remove(&(flight.wake, id));
+        flight.wake = wake;
+        self.wakes.insert((wake, id));
+    }
+
+    /// When a request that has not started is revoked: a little before its deadline.
+    fn revoke_at(&self, flight: &Flight) -> Micros {
+        let whole = flight.request.deadline.since(flight.arrived);
+        let margin = self.tuning.revoke_us.min(whole / 10);
+        Micros(flight.request.deadline.0.saturating_sub(margin))
+    }
+
     /// Lets time pass: deadlines, retries, hedges.
     pub fn tick(&mut self, now: Micros) {
-        let mut ids: Vec<RequestId> = self.flights.keys().copied().collect();
-        ids.sort_unstable();
-        for id in ids {
-            self.tick_one(now, id);
+        while let Some((wake, id)) = self.wakes.first().copied().filter(|(wake, _)| *wake <= now) {
+            self.wakes.remove(&(wake, id));
+            self.wake(now, id);
+            self.plan_wake(now, id);
         }
         self.offer_all_waiting(now);
     }
 
-    fn tick_one(&mut self, now: Micros, id: RequestId) {
+    fn wake(&mut self, now: Micros, id: RequestId) {
         let Some(flight) = self.flights.get(&id) else { return };
-        let deadline = flight.request.deadline;
-        if now >= deadline {
+        if now >= flight.request.deadline {
             self.expire(now, id);
-            return;
-        }
-        if flight.stage == Stage::Claiming && now >= flight.not_before {
+        } else if flight.stage == Stage::Claiming && now >= flight.not_before {
             self.ask_claim(id);
-            return;
-        }
-        let whole = deadline.since(flight.arrived);
-        let margin = self.tuning.revoke_us.min(whole / 10);
-        if flight.stage == Stage::Offered && !flight.revoked && now + margin >= deadline {
+        } else if flight.stage == Stage::Waiting && flight.not_before != Micros(0) {
+            // Its wait after a refusal or failure is over.
+            if let Some(flight) = self.flights.get_mut(&id) {
+                flight.not_before = Micros(0);
+            }
+            self.enqueue(now, id);
+        } else if flight.stage == Stage::Offered && !flight.revoked && now >= self.revoke_at(flight)
+        {
             self.revoke_all(id);
-            return;
-        }
-        if self.hedge_due(now, id) {
+        } else if self.hedge_at(flight).is_some_and(|at| now >= at) {
             self.hedge(now, id);
         }
     }
@@ -738,15 +771,15 @@
         self.finish(now, id, finish);
     }
 
-    fn hedge_due(&self, now: Micros, id: RequestId) -> bool {
-        let Some(flight) = self.flights.get(&id) else { return false };
+    /// When a repeatable request is offered a second time, if its first offer is still open then.
+    fn hedge_at(&self, flight: &Flight) -> Option<Micros> {
         if !self.tuning.hedge || !flight.request.repeatable || flight.hedged {
-            return false;
+            return None;
         }
-        let [offer] = flight.offers.as_slice() else { return false };
-        let service = self.services.get(&flight.request.content.service);
-        let p95 = service.and_then(|service| service.latency.quantile(0.95, HEDGE_SAMPLES));
-        p95.is_some_and(|p95| now.since(offer.at) > p95.max(1000))
+        let [offer] = flight.offers.as_slice() else { return None };
+        let service = self.services.get(&flight.request.content.service)?;
+        let p95 = service.latency.quantile(0.95, HEDGE_SAMPLES)?;
+        (flight.stage == Stage::Offered).then_some(offer.at + p95.max(HEDGE_LEAST_US))
     }
 
     fn hedge(&mut self, now: Micros, id: RequestId) {
@@ -774,6 +807,7 @@
         let Some(mut flight) = self.flights.remove(&id) else { return };
         let finish = flight.truth(finish);
         self.open_numbers.remove(&id.number);
+        self.wakes.remove(&(flight.wake, id));
         let name = flight.request.content.service.clone();
         for offer in &flight.offers {
             if offer.state == OfferState::Broken {
@@ -812,11 +846,6 @@
     }
 }
 
-/// Whether requests behind this one must wait too, as no endpoint is free.
-fn flight_blocks(flight: Option<&Flight>, now: Micros) -> bool {
-    flight.is_some_and(|flight| flight.not_before <= now && flight.offers.is_empty())
-}
-
 fn end_of_claim(flight: &Flight, finish: &Finish) -> ClaimEnd {
     let content = &flight.request.content;
     ClaimEnd {
