Schedule colocated work: learn harm, climb the ladder, preempt, quarantine

Cause: placement knew sizes and labels only; nothing protected services from the work beside them. Change: the scheduler learns from late reports which kinds harm which, held against what ran when a report was taken; placements weigh the harm; a ladder slows, pauses and moves batch work and releases it again; urgent work makes room; VMs that fail different units are left alone; deadlines raise jobs and are warned of; placements use an index.

Found by its tests: a paused task could never be slowed instead (the state refused it), so paused work stayed paused for ever; a VM on probation that ran a service was never probed; the end of a quarantine was no new room.

--- a/crates/pond-control/src/replica.rs
+++ b/crates/pond-control/src/replica.rs
@@ -7,12 +7,13 @@
 use crossbeam_channel::{Receiver, RecvTimeoutError};
 use pond_link::{Event, EventKind, LinkKey, Sender};
 use pond_log::{Logger, event};
+use pond_platform::Usage;
 use pond_proto::operator::{MemberRow, Status};
 use pond_proto::quorum::{Body as Letter, Entry, Kind, Letter as QuorumLetter, Members};
 use pond_proto::wire::{Beat, Body, ClaimAsk, ClaimEnd, ClaimTell, Role as WireRole, Verdict};
 use pond_proto::{Millis, Span};
 use pond_quorum::{Core, Input as QuorumInput, Output, Role, SnapshotImage, Start, Tuning};
-use pond_sched::Scheduler;
+use pond_sched::{Measured, Scheduler};
 use pond_state::{Change, Holder, KeptAnswer, Meta, Order as StateOrder, Reply, State};
 use pond_store::{Recovered, Snapshot, Store};
 use tokio::sync::mpsc;
@@ -21,7 +22,7 @@
 use crate::formation::{Formation, Replacement};
 use crate::platform::Order;
 use crate::publish::Publisher;
-use crate::reconcile::{Reconciler, Step, Times};
+use crate::reconcile::{Answer, Reconciler, Step, Times};
 use crate::ring::{Input, Unready};
 use crate::tickets::{Tickets, Waiter};
 
@@ -216,6 +217,9 @@
                         event!(self.parts.log, ORDER_FAILED,
                             "vm" => fact.vm.to_string(), "why" => error.to_string());
                     }
+                    if let Ok(Answer::Usage(usage)) = &fact.result {
+                        duty.scheduler.measure(&self.state, &measured(usage, wall));
+                    }
                     duty.reconciler.fact(&self.state, now, wall, fact);
                 }
             }
@@ -581,6 +585,8 @@
                     "task" => task.to_string(), "action" => format!("{:?}", decision.action),
                     "why" => decision.why.clone());
             }
+            Change::Warn { unit, decision, .. } => event!(log, DEADLINE_RISK,
+                "unit" => unit.clone(), "why" => decision.why.clone()),
             Change::Started { task, .. } => {
                 let unit = self.state.task(*task).map(|task| task.unit.clone());
                 event!(log, TASK_STARTED, "unit" => unit.unwrap_or_default(),
@@ -792,5 +798,18 @@
     }
 }
 
+/// Late reports as the scheduler takes them.
+fn measured(usage: &Usage, wall: Millis) -> Vec<Measured> {
+    let measured = usage.reports.iter().map(|report| Measured {
+        task: report.task,
+        at: wall - report.age_ms,
+        milli_cpu: report.milli_cpu,
+        memory_mib: report.memory_mib,
+        p99_us: report.p99_us,
+        rate: report.rate,
+    });
+    measured.collect()
+}
+
 /// Marks own changes that are known by their place in the log.
 const OWN_BY_INDEX: u64 = 1 << 63;
--- a/crates/pond-proto/src/selector.rs
+++ b/crates/pond-proto/src/selector.rs
@@ -56,10 +56,15 @@
 impl Term {
     /// Whether the labels meet the condition.
     pub fn matches(&self, labels: &Labels) -> bool {
-        let value = labels.get(&self.key);
+        self.matches_value(labels.get(&self.key).map(String::as_str))
+    }
+
+    /// Whether a label with that value, or none, meets the condition.
+    pub fn matches_value(&self, value: Option<&str>) -> bool {
+        let among = |value: &str| self.values.iter().any(|other| other == value);
         match self.operator {
-            Operator::In => value.is_some_and(|v| self.values.contains(v)),
-            Operator::NotIn => value.is_none_or(|v| !self.values.contains(v)),
+            Operator::In => value.is_some_and(among),
+            Operator::NotIn => !value.is_some_and(among),
             Operator::Exists => value.is_some(),
             Operator::DoesNotExist => value.is_none(),
         }
--- a/crates/pond-proto/src/unit.rs
+++ b/crates/pond-proto/src/unit.rs
@@ -77,6 +77,9 @@
     /// The priority from which work is urgent.
     pub const URGENT: i32 = 100;
 
+    /// The label that says what a unit is like.
+    pub const KIND: &'static str = "kind";
+
     /// The service part, if it is one.
     pub fn service(&self) -> Option<&Service> {
         match &self.kind {
@@ -93,6 +96,12 @@
         }
     }
 
+    /// What it is like, for learning: its label `kind`, else the first word of its program.
+    pub fn kind_name(&self) -> &str {
+        let word = || self.program.split_whitespace().next();
+        self.labels.get(Unit::KIND).map(String::as_str).or_else(word).unwrap_or(&self.name)
+    }
+
     /// How many tasks of it shall run.
     pub fn replicas(&self) -> u32 {
         self.service().map_or(1, |service| service.replicas)
--- a/crates/pond-route/src/latency.rs
+++ b/crates/pond-route/src/latency.rs
@@ -1,4 +1,4 @@
-//! A running estimate of latencies.
+//! Quantiles of recent latencies.
 
 /// Buckets of the histogram: powers of the fourth root of two from 1 microsecond on.
 const BUCKETS: usize = 128;
@@ -6,28 +6,22 @@
 /// After this many samples all counts are halved, so that old ones fade.
 const FADE: u32 = 4096;
 
-/// A smoothed mean and coarse quantiles of latencies in microseconds.
+/// Coarse quantiles of recent latencies in microseconds.
 #[derive(Clone, Debug)]
 pub struct Latency {
-    mean: Option<f64>,
     buckets: Box<[u32; BUCKETS]>,
     count: u32,
 }
 
-/// Weight of a new sample in the smoothed mean.
-const WEIGHT: f64 = 0.1;
-
 impl Default for Latency {
     fn default() -> Latency {
-        Latency { mean: None, buckets: Box::new([0; BUCKETS]), count: 0 }
+        Latency { buckets: Box::new([0; BUCKETS]), count: 0 }
     }
 }
 
 impl Latency {
     /// Takes in a sample.
     pub fn add(&mut self, us: u64) {
-        let sample = us as f64;
-        self.mean = Some(self.mean.map_or(sample, |mean| mean + WEIGHT * (sample - mean)));
         self.buckets[bucket(us)] += 1;
         self.count += 1;
         if self.count >= FADE {
@@ -36,11 +30,6 @@
         }
     }
 
-    /// The smoothed mean, if there is a sample.
-    pub fn mean(&self) -> Option<f64> {
-        self.mean
-    }
-
     /// A quantile, between 0 and 1, if there are at least `least` samples.
     pub fn quantile(&self, quantile: f64, least: u32) -> Option<u64> {
         if self.count < least.max(1) {
--- a/crates/pond-sched/src/candidate.rs
+++ b/crates/pond-sched/src/candidate.rs
@@ -2,9 +2,10 @@
 
 use std::collections::BTreeMap;
 
-use pond_proto::{Labels, Size, Unit, UnitName, VmKey};
-use pond_state::{State, VmRecord};
+use pond_proto::{Labels, Millis, Size, Unit, UnitName, Vm, VmKey};
+use pond_state::{State, UnitRecord, VmRecord};
 
+use crate::fleet::Fleet;
 use crate::miss::Reason;
 
 /// Room and units that this plan has given out already.
@@ -38,24 +39,39 @@
         state.quota(&unit.team).is_none_or(|quota| after.fits(quota))
     }
 
-    /// The labels of the units on a VM.
-    fn labels_on<'a>(
+    /// The units on a VM, one for each task.
+    pub fn units_on<'a>(
         &'a self,
         state: &'a State,
         vm: VmKey,
-    ) -> impl Iterator<Item = &'a Labels> + 'a {
+    ) -> impl Iterator<Item = &'a UnitRecord> + 'a {
         let given = self.units.get(&vm).into_iter().flatten();
         let names = state.tasks_on(vm).map(|task| &task.unit).chain(given);
-        names.filter_map(|name| state.unit(name)).map(|record| &record.unit.labels)
+        names.filter_map(|name| state.unit(name))
+    }
+
+    fn labels_on<'a>(
+        &'a self,
+        state: &'a State,
+        vm: VmKey,
+    ) -> impl Iterator<Item = &'a Labels> + 'a {
+        self.units_on(state, vm).map(|record| &record.unit.labels)
     }
 }
 
-/// Why a unit cannot run on a VM now, or none if it can.
-pub fn obstacle(state: &State, given: &Given, unit: &Unit, vm: &VmRecord) -> Option<Reason> {
-    if !unit.selector.matches(&vm.labels()) {
+/// Why a unit cannot run on a VM now, or none if it can. `kept` is room kept for other units.
+pub fn obstacle(
+    state: &State,
+    given: &Given,
+    unit: &Unit,
+    vm: &VmRecord,
+    kept: Size,
+    now: Millis,
+) -> Option<Reason> {
+    if !vm.matches(&unit.selector) {
         return Some(Reason::Selector);
     }
-    if !vm.open() {
+    if !Fleet::takes(state, vm, now) {
         return Some(Reason::Closed);
     }
     if let Some(affinity) = &unit.affinity
@@ -71,27 +87,65 @@
     if !unit.size.fits(vm.vm.size) {
         return Some(Reason::TooSmall);
     }
-    if !unit.size.fits(given.free(vm)) {
+    if !unit.size.fits(given.free(vm).minus(kept)) {
         return Some(Reason::Taken);
     }
     None
 }
 
-/// How good a VM is for a unit; higher is better.
+/// Where tasks of one service are: by VM, rack and data centre.
+#[derive(Debug, Default)]
+pub struct Siblings {
+    vms: BTreeMap<VmKey, i64>,
+    racks: BTreeMap<String, i64>,
+    centres: BTreeMap<String, i64>,
+}
+
+impl Siblings {
+    /// Where the tasks of a unit are now.
+    pub fn new(state: &State, record: &UnitRecord) -> Siblings {
+        let mut siblings = Siblings::default();
+        let tasks = record.tasks.values().filter_map(|key| state.task(*key));
+        tasks.filter_map(|task| state.vm(task.vm)).for_each(|vm| siblings.add(vm));
+        siblings
+    }
+
+    /// One more on a VM.
+    pub fn add(&mut self, vm: &VmRecord) {
+        *self.vms.entry(vm.key).or_default() += 1;
+        if let Some(rack) = vm.vm.labels.get(Vm::RACK) {
+            *self.racks.entry(rack.clone()).or_default() += 1;
+        }
+        *self.centres.entry(vm.vm.data_centre().to_owned()).or_default() += 1;
+    }
+
+    /// The more of them are near, the lower.
+    fn score(&self, vm: &VmRecord) -> i64 {
+        let count = |map: &BTreeMap<String, i64>, key: &str| map.get(key).copied().unwrap_or(0);
+        let same_vm = self.vms.get(&vm.key).copied().unwrap_or(0);
+        let same_rack = vm.vm.labels.get(Vm::RACK).map_or(0, |rack| count(&self.racks, rack));
+        let same_centre = count(&self.centres, vm.vm.data_centre());
+        -4000 * same_vm - 1500 * same_rack - 500 * same_centre
+    }
+}
+
+/// Score that one wasted accelerator costs.
+const ACCELERATOR: i64 = 400;
+
+/// How good a VM is for a unit, harm aside; higher is better.
 ///
-/// Jobs are packed onto the fullest VM that holds them. Services are spread: away from VMs, then
+/// Jobs are packed onto the fullest VM that holds them. Services are spread away from VMs, then
 /// racks and data centres, that hold tasks of the same service.
-pub fn score(state: &State, given: &Given, unit: &Unit, vm: &VmRecord) -> i64 {
+pub fn score(given: &Given, unit: &Unit, vm: &VmRecord, siblings: &Siblings) -> i64 {
     let fill = fill_after(given, unit, vm);
-    let spare_accelerators = match unit.size.accelerators {
-        0 => i64::from(given.free(vm).accelerators),
+    let wasted = match unit.size.accelerators {
+        0 => i64::from(given.free(vm).accelerators) * ACCELERATOR,
         _ => 0,
     };
     if unit.service().is_none() {
-        return fill - 400 * spare_accelerators;
+        return fill - wasted;
     }
-    let (same_vm, same_rack, same_centre) = siblings(state, given, unit, vm);
-    -4000 * same_vm - 1500 * same_rack - 500 * same_centre - fill - 400 * spare_accelerators
+    siblings.score(vm) - fill - wasted
 }
 
 /// How full the VM would be, in thousandths of its scarcest resource.
@@ -104,27 +158,3 @@
     let size = vm.vm.size;
     share(left.milli_cpu, size.milli_cpu).max(share(left.memory_mib, size.memory_mib))
 }
-
-/// Tasks of the same service on the VM, in its rack, and in its data centre.
-fn siblings(state: &State, given: &Given, unit: &Unit, vm: &VmRecord) -> (i64, i64, i64) {
-    let rack = vm.vm.labels.get(pond_proto::Vm::RACK);
-    let centre = vm.vm.data_centre();
-    let placed = state.unit(&unit.name).into_iter().flat_map(|record| record.tasks.values());
-    let placed = placed.filter_map(|key| state.task(*key)).map(|task| task.vm);
-    let mut counts = (0, 0, 0);
-    for other in placed.chain(given.vms_of(&unit.name)).filter_map(|key| state.vm(key)) {
-        counts.0 += i64::from(other.key == vm.key);
-        counts.1 += i64::from(rack.is_some() && other.vm.labels.get(pond_proto::Vm::RACK) == rack);
-        counts.2 += i64::from(other.vm.data_centre() == centre);
-    }
-    counts
-}
-
-impl Given {
-    /// The VMs that this plan gave to a unit, one for each task.
-    fn vms_of<'a>(&'a self, unit: &'a str) -> impl Iterator<Item = VmKey> + 'a {
-        self.units.iter().flat_map(move |(vm, names)| {
-            names.iter().filter(move |name| *name == unit).map(move |_| *vm)
-        })
-    }
-}
--- a/crates/pond-state/src/change.rs
+++ b/crates/pond-state/src/change.rs
@@ -72,6 +72,15 @@
         /// Why.
         decision: Decision,
     },
+    /// The scheduler says something about a unit.
+    Warn {
+        /// When.
+        at: Millis,
+        /// The unit.
+        unit: UnitName,
+        /// What and why.
+        decision: Decision,
+    },
     /// The scheduler changes how a task runs.
     Steer {
         /// When.
@@ -231,6 +240,7 @@
             | Change::Judged { at, .. }
             | Change::Place { at, .. }
             | Change::SetAside { at, .. }
+            | Change::Warn { at, .. }
             | Change::Steer { at, .. }
             | Change::Started { at, .. }
             | Change::Ended { at, .. }
--- a/crates/pond-state/src/decision.rs
+++ b/crates/pond-state/src/decision.rs
@@ -21,6 +21,8 @@
     Move,
     /// Stop it for good.
     Stop,
+    /// Only say something to operators.
+    Warn,
 }
 
 /// One decision with its reasons.
--- a/crates/pond-state/src/lib.rs
+++ b/crates/pond-state/src/lib.rs
@@ -26,4 +26,4 @@
 pub use trail::Trail;
 pub use unit::{Resume, Standing, UnitRecord};
 pub use views::Views;
-pub use vm::{Liveness, VmRecord};
+pub use vm::{Liveness, Trust, VmRecord};
--- a/crates/pond-state/src/place.rs
+++ b/crates/pond-state/src/place.rs
@@ -9,6 +9,9 @@
 use crate::task::{Phase, Task};
 use crate::unit::{Resume, Standing};
 
+/// A job that failed on this many VMs is itself to blame.
+const BLAMED_VMS: usize = 2;
+
 /// Wait after the first failure of a job, in milliseconds; doubled with each more.
 const BACKOFF_MS: Span = 1_000;
 
@@ -179,6 +182,7 @@
             keys.remove(&key);
         }
         self.give_room_back(&task);
+        self.blame(&task, &end);
         self.settle(&task, end);
         self.refresh_wanting(&task.unit);
         if task.endpoint.is_some() {
@@ -187,6 +191,34 @@
         Reply::Noted
     }
 
+    /// Tells a VM that fails everything from a job that fails everywhere.
+    fn blame(&mut self, task: &Task, end: &End) {
+        let clock = self.clock;
+        if *end == End::Done
+            && let Some(vm) = self.vms.get_mut(&task.vm)
+        {
+            vm.succeed();
+        }
+        if !matches!(end, End::Failed { .. } | End::Refused { .. }) {
+            return;
+        }
+        let Some(record) = self.units.get_mut(&task.unit) else { return };
+        record.failed_on.insert(task.vm);
+        if record.failed_on.len() < BLAMED_VMS {
+            if let Some(vm) = self.vms.get_mut(&task.vm) {
+                vm.fail(&task.unit, clock);
+            }
+            return;
+        }
+        // It fails wherever it runs: no VM is to blame for it.
+        let failed_on = record.failed_on.clone();
+        for key in failed_on {
+            if let Some(vm) = self.vms.get_mut(&key) {
+                vm.failed.remove(&task.unit);
+            }
+        }
+    }
+
     /// What the end of a task means for its unit.
     fn settle(&mut self, task: &Task, end: End) {
         let clock = self.clock;
@@ -238,7 +270,9 @@
 fn steered(phase: Phase, action: &Action, service: bool) -> Option<Phase> {
     let running = matches!(phase, Phase::Running | Phase::Slowed(_));
     match action {
-        Action::Slow(share) if running && !service => Some(Phase::Slowed(*share)),
+        Action::Slow(share) if (running || phase == Phase::Paused) && !service => {
+            Some(Phase::Slowed(*share))
+        }
         Action::Pause if running && !service => Some(Phase::Paused),
         Action::Release if matches!(phase, Phase::Slowed(_) | Phase::Paused) => {
             Some(Phase::Running)
--- a/crates/pond-state/src/state.rs
+++ b/crates/pond-state/src/state.rs
@@ -54,6 +54,12 @@
                 self.place(&unit, replica, vm, decision)
             }
             Change::SetAside { unit, decision, .. } => self.set_aside(&unit, decision),
+            Change::Warn { unit, decision, .. } => {
+                if let Some(record) = self.units.get_mut(&unit) {
+                    record.note(decision);
+                }
+                Reply::Noted
+            }
             Change::Steer { task, decision, .. } => self.steer(task, decision),
             Change::Started { task, endpoint, .. } => self.started(task, endpoint),
             Change::Checkpointed { task, checkpoint } => self.checkpointed(task, checkpoint),
--- a/crates/pond-state/src/unit.rs
+++ b/crates/pond-state/src/unit.rs
@@ -1,8 +1,8 @@
 //! Units as the state knows them.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use pond_proto::{Millis, TaskKey, Unit};
+use pond_proto::{Millis, TaskKey, Unit, VmKey};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
@@ -60,6 +60,8 @@
     pub resume: Option<Resume>,
     /// How often a run failed.
     pub failures: u32,
+    /// VMs on which a run failed.
+    pub failed_on: BTreeSet<VmKey>,
     /// How often it was moved.
     pub moves: u32,
     /// It is not placed before this time.
@@ -80,6 +82,7 @@
             attempts: BTreeMap::new(),
             resume: None,
             failures: 0,
+            failed_on: BTreeSet::new(),
             moves: 0,
             not_before: Millis(0),
             decisions: VecDeque::new(),
--- a/crates/pond-test/src/lib.rs
+++ b/crates/pond-test/src/lib.rs
@@ -1,11 +1,13 @@
 //! Helpers for tests: replicas on disks that forget, schedules of failures, small units.
 
 mod cluster;
+mod colocation;
 mod config;
 mod path;
 mod sample;
 
 pub use cluster::{Cluster, Faults};
+pub use colocation::{Colocation, Outcome, Scene, Truth};
 pub use config::cases;
 pub use path::{Behaviour, Path, Told};
 pub use sample::{job, meta, service, vm};
