--- a/crates/pond-control/src/lib.rs
+++ b/crates/pond-control/src/lib.rs
@@ -17,4 +17,4 @@
 
 pub use operator::openapi;
 pub use process::Process;
-pub use reconcile::{Call, Fact, Reconciler, Step, Times};
+pub use reconcile::{Answer, Call, Fact, Reconciler, Step, Times};
--- a/crates/pond-control/src/publish.rs
+++ b/crates/pond-control/src/publish.rs
@@ -74,6 +74,12 @@
         self.told.get(&link).is_some_and(|told| told.sender.send(body))
     }
 
+    /// Tells one process who leads.
+    pub fn beat_one(&self, link: LinkKey, leader: &str, term: u64) {
+        let beat = Beat { leader: leader.to_owned(), term, ..Beat::default() };
+        self.send(link, Body::Beat(beat));
+    }
+
     /// Tells everyone who leads.
     pub fn beat(&self, leader: &str, term: u64) {
         for told in self.told.values() {
--- a/crates/pond-control/src/replica.rs
+++ b/crates/pond-control/src/replica.rs
@@ -38,9 +38,12 @@
 /// Time between looks at what is to be decided, in milliseconds.
 const DECIDE_MS: Span = 20;
 
-/// Time between beats to linked processes, in milliseconds.
+/// Time between beats to other replicas, in milliseconds.
 const BEAT_MS: Span = 200;
 
+/// Time between beats to entries and endpoint processes while nothing changes, in milliseconds.
+const TOLD_MS: Span = 2_000;
+
 /// Proposals of this replica that may be open before it plans more.
 const OWN_OPEN: usize = 2048;
 
@@ -93,6 +96,9 @@
     duty: Option<Duty>,
     led: Option<u64>,
     beat: Millis,
+    /// Leader and term as entries and endpoint processes were last told, and when.
+    told: (String, u64),
+    told_at: Millis,
     checksum: (u64, u32),
     list_failed: bool,
     stopping: Option<Millis>,
@@ -154,6 +160,8 @@
             duty: None,
             led: None,
             beat: now,
+            told: (String::new(), 0),
+            told_at: Millis(0),
             checksum: (0, 0),
             list_failed: false,
             stopping: None,
@@ -265,8 +273,9 @@
                     event!(self.parts.log, LINK_UP, "peer" => hello.name.clone());
                     self.peers.insert(hello.name, (event.link, sender));
                 } else {
+                    let (leader, term) = self.told.clone();
                     self.publisher.link_up(event.link, &hello, sender);
-                    self.beat = Millis(0);
+                    self.publisher.beat_one(event.link, &leader, term);
                 }
             }
             EventKind::Down(error) => self.link_down(event.link, &error),
@@ -757,8 +766,12 @@
         self.beat = now;
         let leader = self.core.leader().map(|leader| leader.address.clone()).unwrap_or_default();
         let leads = self.core.ready() && self.stopping.is_none();
-        if leads || self.core.role() != Role::Leader {
+        let news = (leader.clone(), self.core.term());
+        let due = self.told != news || now.since(self.told_at) >= TOLD_MS;
+        if due && (leads || self.core.role() != Role::Leader) {
             self.publisher.beat(&leader, self.core.term());
+            self.told = news;
+            self.told_at = now;
         }
         let (snapshot_index, checksum) = self.checksum;
         let beat = Beat { leader, term: self.core.term(), snapshot_index, checksum };
--- a/crates/pond-follow/src/control.rs
+++ b/crates/pond-follow/src/control.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
+use std::time::Duration;
 
 use pond_link::{Event, EventKind, LinkKey, Sender, Terms, dial};
 use pond_log::{Logger, event};
@@ -10,6 +11,12 @@
 use pond_settings::Replica;
 use tokio::sync::mpsc;
 
+/// Time between heartbeats to control. Each process has a link to each replica, so they are few.
+pub const BEAT: Duration = Duration::from_millis(2_000);
+
+/// Silence after which a link to control is lost.
+pub const SILENCE: Duration = Duration::from_millis(5_000);
+
 /// Frames for the leader that are kept while there is none.
 const KEPT: usize = 4096;
 
@@ -52,6 +59,8 @@
         events: &mpsc::Sender<Event>,
         log: Logger,
     ) -> Control {
+        let calm = terms.as_ref().clone().with_times(BEAT, SILENCE);
+        let terms = Arc::new(calm);
         let mut peers = BTreeMap::new();
         for (i, replica) in replicas.iter().enumerate() {
             let link = LinkKey(i as u64);
--- a/crates/pond-follow/src/lib.rs
+++ b/crates/pond-follow/src/lib.rs
@@ -6,4 +6,4 @@
 
 mod control;
 
-pub use control::{Control, Told};
+pub use control::{BEAT, Control, SILENCE, Told};
--- a/crates/pond-link/src/terms.rs
+++ b/crates/pond-link/src/terms.rs
@@ -57,6 +57,12 @@
         self
     }
 
+    /// Sets how often heartbeats go out, and after what silence a link is lost.
+    pub fn with_times(mut self, beat: Duration, silence: Duration) -> Terms {
+        (self.beat, self.silence) = (beat, silence);
+        self
+    }
+
     /// Sets the token that both ends must know.
     pub fn with_token(mut self, token: &str) -> Terms {
         self.hello.token = token.to_owned();
--- a/crates/pond-proto/src/unit.rs
+++ b/crates/pond-proto/src/unit.rs
@@ -21,6 +21,9 @@
     pub p99_ms: Option<u32>,
     /// Requests that may be under way for the service at one entry.
     pub concurrency: u32,
+    /// Requests a second that one entry takes for the service; zero for no limit.
+    #[serde(default)]
+    pub rate: u32,
 }
 
 /// What is particular to a job.
--- a/crates/pond-proto/src/view.rs
+++ b/crates/pond-proto/src/view.rs
@@ -46,6 +46,9 @@
     /// Its priority.
     #[prost(int32, tag = "4")]
     pub priority: i32,
+    /// Requests a second at one entry; zero for no limit.
+    #[prost(uint32, tag = "5")]
+    pub rate: u32,
 }
 
 /// A step from one version of the view to another.
--- a/crates/pond-route/src/lib.rs
+++ b/crates/pond-route/src/lib.rs
@@ -9,6 +9,7 @@
 mod endpoint;
 mod health;
 mod latency;
+mod limit;
 mod policy;
 mod request;
 mod router;
--- a/crates/pond-route/src/router.rs
+++ b/crates/pond-route/src/router.rs
@@ -2,12 +2,12 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use pond_proto::Micros;
 use pond_proto::view::Delta;
 use pond_proto::wire::{
     Answer, ClaimAsk, ClaimEnd, ClaimTell, Fate, FateTell, Offer, OfferId, Refusal, Refuse,
     RequestId, Verdict,
 };
+use pond_proto::{Micros, Unit};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -33,6 +33,9 @@
     pub backoff_us: u64,
     /// How long before its deadline a request that has not started is revoked, in microseconds.
     pub revoke_us: u64,
+    /// Requests of all services that may be under way. Services that are not urgent are refused
+    /// earlier, so that the rest is left for urgent ones.
+    pub under_way: usize,
 }
 
 impl Default for Tuning {
@@ -45,10 +48,14 @@
             eject_share: 0.5,
             backoff_us: 2_000,
             revoke_us: 20_000,
+            under_way: 4096,
         }
     }
 }
 
+/// Hundredths of all requests under way that services may have that are not urgent.
+const LOW_SHARE: usize = 75;
+
 /// How long an endpoint is taken as full after it refused, in microseconds.
 const FULL_US: u64 = 2_000;
 
@@ -201,10 +208,8 @@
         }
         for told in &delta.services {
             let share = self.tuning.retry_share;
-            let new = || Service::new(told.concurrency, share);
-            let service = self.services.entry(told.name.clone()).or_insert_with(new);
-            service.concurrency = told.concurrency;
-            service.known = true;
+            let service = self.services.entry(told.name.clone());
+            service.or_insert_with(|| Service::new(share)).put(now, told);
         }
         for name in &delta.gone_services {
             if let Some(service) = self.services.get_mut(name) {
@@ -237,7 +242,7 @@
     /// Takes in a caller's request. It ends with exactly one [`Output::Finish`].
     pub fn request(&mut self, now: Micros, request: Request) {
         let id = request.id;
-        if let Some(reason) = self.refusal(&request) {
+        if let Some(reason) = self.refusal(now, &request) {
             self.outputs.push(Output::Finish { id, finish: Finish::NotRun(reason) });
             return;
         }
@@ -256,16 +261,20 @@
         }
     }
 
-    fn refusal(&self, request: &Request) -> Option<NotRun> {
+    fn refusal(&mut self, now: Micros, request: &Request) -> Option<NotRun> {
         if self.stopping {
             return Some(NotRun::Stopping);
         }
         if self.version == 0 {
             return Some(NotRun::NotReady);
         }
-        let service = self.services.get(&request.content.service).filter(|s| s.known);
+        let under_way = self.flights.len();
+        let service = self.services.get_mut(&request.content.service).filter(|s| s.known);
         let Some(service) = service else { return Some(NotRun::NoService) };
-        (service.under_way >= service.concurrency).then_some(NotRun::Overload)
+        let all = self.tuning.under_way;
+        let share = if service.priority >= Unit::URGENT { all } else { all * LOW_SHARE / 100 };
+        let full = under_way >= share || service.under_way >= service.concurrency;
+        (full || service.sheds(now) || !service.within_rate(now)).then_some(NotRun::Overload)
     }
 
     fn ask_claim(&mut self, id: RequestId) {
@@ -823,8 +832,9 @@
         }
         if let Some(service) = self.services.get_mut(&name) {
             service.under_way = service.under_way.saturating_sub(1);
-            if matches!(finish, Finish::Answered(_)) {
+            if let Finish::Answered(answer) = &finish {
                 service.latency.add(now.since(flight.arrived));
+                service.answered(now, answer.service_us);
             }
         }
         if flight.claimed {
--- a/crates/pond-route/tests/faults.rs
+++ b/crates/pond-route/tests/faults.rs
@@ -377,6 +377,57 @@
     assert_eq!(reason(&path, id), NotRun::NoEndpoint);
 }
 
+/// Latencies and outcomes of a load on two endpoints of four slots of 5 ms, so 1,600 a second.
+fn under_load(share: f64) -> (f64, u64, usize) {
+    let mut path = Path::new(2, 2, 4, Tuning::default(), 3);
+    (0..2).for_each(|i| path.behave(i, Behaviour::Exactly(5 * MS)));
+    path.load(1600.0 * share, 1_000 * MS, true, 1000);
+    let since = path.now();
+    path.load(1600.0 * share, 4_000 * MS, true, 1000);
+    let latencies = path.latencies(since);
+    let goodput = latencies.len() as f64 / 4.0;
+    path.run_for(2_000 * MS);
+    let p99 = latencies[latencies.len() * 99 / 100];
+    let unknown =
+        path.told.values().filter(|told| told.finish.outcome() == Outcome::Unknown).count();
+    (goodput, p99, unknown)
+}
+
+#[test]
+fn an_overload_keeps_goodput_and_the_tail_of_what_is_admitted() {
+    let (_, calm_p99, _) = under_load(0.7);
+    let (goodput, p99, unknown) = under_load(3.0);
+    assert!(goodput >= 1600.0 * 0.95, "{goodput} a second");
+    assert!(p99 <= calm_p99 * 2, "p99 {p99} us under overload, {calm_p99} us at 70 %");
+    assert_eq!(unknown, 0);
+}
+
+#[test]
+fn a_rate_is_kept_and_the_rest_is_told_not_run_at_once() {
+    let mut path = path(1, 2);
+    path.limit(2, 100);
+    path.load(1000.0, 2_000 * MS, true, 1000);
+    path.run_for(100 * MS);
+    let answered = path.latencies(pond_proto::Micros(0)).len();
+    assert!((200..=215).contains(&answered), "{answered} in two seconds");
+    let refused = path.told.values().filter(|told| told.finish.outcome() == Outcome::NotRun);
+    assert!(refused.map(|told| told.at.since(told.asked)).all(|us| us == 0));
+}
+
+#[test]
+fn services_that_are_not_urgent_are_shed_first() {
+    let tuning = Tuning { under_way: 8, ..Tuning::default() };
+    let answered = |priority| {
+        let mut path = Path::new(1, 2, 8, tuning, 3);
+        path.prioritise(2, priority);
+        (0..2).for_each(|i| path.behave(i, SLOW));
+        let ids: Vec<RequestId> = (0..10).map(|_| path.ask(0, true, "", 1000)).collect();
+        path.run_for(500 * MS);
+        ids.iter().filter(|id| path.outcome(**id) == Some(Outcome::Answered)).count()
+    };
+    assert_eq!((answered(0), answered(100)), (6, 8));
+}
+
 proptest! {
     #![proptest_config(cases(150))]
 
--- a/crates/pond-settings/src/unit_file.rs
+++ b/crates/pond-settings/src/unit_file.rs
@@ -83,6 +83,7 @@
         connections: reader.number_or("connections", 1..=4096, 64) as u32,
         p99_ms: reader.number_opt("p99_ms", 1..=60_000).map(|ms| ms as u32),
         concurrency: reader.number_or("concurrency", 1..=65_536, DEFAULT_CONCURRENCY) as u32,
+        rate: reader.number_or("rate", 0..=1_000_000, 0) as u32,
     };
     reader.finish();
     service
--- a/crates/pond-state/src/state.rs
+++ b/crates/pond-state/src/state.rs
@@ -289,5 +289,6 @@
         concurrency: service.concurrency,
         team: record.unit.team.clone(),
         priority: record.unit.priority,
+        rate: service.rate,
     })
 }
--- a/crates/pond-test/src/path.rs
+++ b/crates/pond-test/src/path.rs
@@ -191,6 +191,7 @@
             concurrency: 100_000,
             team: "team".to_owned(),
             priority: 0,
+            rate: 0,
         };
         let delta = view::Delta {
             term: 1,
@@ -210,6 +211,37 @@
         self.carry_out();
     }
 
+    /// Limits the rate of the service at all entries.
+    pub fn limit(&mut self, version: u64, rate: u32) {
+        self.put_service(version, rate, 0);
+    }
+
+    /// Sets the priority of the service at all entries.
+    pub fn prioritise(&mut self, version: u64, priority: i32) {
+        self.put_service(version, 0, priority);
+    }
+
+    fn put_service(&mut self, version: u64, rate: u32, priority: i32) {
+        let service = view::Service {
+            name: SERVICE.to_owned(),
+            concurrency: 100_000,
+            team: "team".to_owned(),
+            priority,
+            rate,
+        };
+        let delta = view::Delta {
+            term: 1,
+            from: version - 1,
+            to: version,
+            services: vec![service],
+            ..view::Delta::default()
+        };
+        let now = Micros(self.now);
+        for router in &mut self.entries {
+            router.view(now, delta.clone());
+        }
+    }
+
     /// Sets how an endpoint behaves from now on.
     pub fn behave(&mut self, endpoint: usize, behaviour: Behaviour) {
         self.places[endpoint].behaviour = behaviour;
--- a/crates/pond-test/src/sample.rs
+++ b/crates/pond-test/src/sample.rs
@@ -27,6 +27,7 @@
         connections: 64,
         p99_ms: Some(20),
         concurrency: 256,
+        rate: 0,
     });
     let labels = Labels::from([("class".to_owned(), "latency-critical".to_owned())]);
     Unit { kind, labels, priority: 100, ..job(name) }
