--- a/crates/pond-control/src/reconcile/reconciler.rs
+++ b/crates/pond-control/src/reconcile/reconciler.rs
@@ -15,6 +15,9 @@
 /// How long after a failed call to a task's worker the next one waits, in milliseconds.
 const RETRY_MS: Span = 200;
 
+/// How often a VM is looked at while nothing happens on it, in milliseconds.
+const LOOK_MS: Span = 500;
+
 /// Calls for tasks that may be under way to one worker.
 const CALLS_PER_WORKER: usize = 16;
 
@@ -36,6 +39,10 @@
     statuses: BTreeMap<VmKey, (Millis, BTreeMap<TaskKey, TaskStatus>)>,
     /// When this reconciler first saw a task as running.
     seen_running: BTreeMap<TaskKey, Millis>,
+    /// When each VM was last looked at; one that is missing is looked at at once.
+    looked: BTreeMap<VmKey, Millis>,
+    /// Calls for tasks under way, by VM.
+    calls: BTreeMap<VmKey, usize>,
     listed: Option<BTreeSet<String>>,
     steps: Vec<Step>,
 }
@@ -54,6 +61,8 @@
             judged: BTreeSet::new(),
             statuses: BTreeMap::new(),
             seen_running: BTreeMap::new(),
+            looked: BTreeMap::new(),
+            calls: BTreeMap::new(),
             listed: None,
             steps: Vec::new(),
         }
@@ -107,11 +116,34 @@
         }
     }
 
+    /// A change is about to be applied: its VM is looked at at once.
+    pub fn notice(&mut self, state: &State, change: &Change) {
+        let task = match change {
+            Change::Place { vm, .. } | Change::Judged { vm, .. } => {
+                self.looked.remove(vm);
+                return;
+            }
+            Change::Order { .. } | Change::Listed { .. } => return self.looked.clear(),
+            Change::Steer { task, .. }
+            | Change::Started { task, .. }
+            | Change::Ended { task, .. }
+            | Change::Checkpointed { task, .. } => *task,
+            _ => return,
+        };
+        if let Some(task) = state.task(task) {
+            self.looked.remove(&task.vm);
+        }
+    }
+
     /// A call to a worker ended.
     pub fn fact(&mut self, state: &State, now: Millis, wall: Millis, fact: Fact) {
-        if let Some(task) = fact.call.task() {
-            self.calling.remove(&task);
+        if let Some(task) = fact.call.task()
+            && self.calling.remove(&task).is_some()
+            && let Some(calls) = self.calls.get_mut(&fact.vm)
+        {
+            *calls = calls.saturating_sub(1);
         }
+        self.looked.remove(&fact.vm);
         if matches!(fact.call, Call::Lease(_)) {
             self.contact(fact.vm).asking = false;
         }
@@ -250,6 +282,10 @@
         quiet: &dyn Fn(&str, u64) -> Option<bool>,
     ) {
         for record in state.vms() {
+            if self.looked.get(&record.key).is_some_and(|at| now.since(*at) < LOOK_MS) {
+                continue;
+            }
+            self.looked.insert(record.key, now);
             self.judge(record, now, wall);
             self.expire(state, record, now, wall);
             if granting {
@@ -322,6 +358,7 @@
     fn call(&mut self, record: &VmRecord, call: Call) {
         if let Some(task) = call.task() {
             self.calling.insert(task, record.key);
+            *self.calls.entry(record.key).or_default() += 1;
         }
         let (vm, worker) = (record.key, record.vm.worker.clone());
         self.steps.push(Step::Call { vm, worker, call });
@@ -350,9 +387,8 @@
     /// Whether a task must wait for a call, a proposal or its time.
     fn busy(&self, task: TaskKey, vm: VmKey, now: Millis) -> bool {
         let waits = self.wait.get(&task).is_some_and(|until| now < *until);
-        let calls = self.calling.values().filter(|calling| **calling == vm).count();
         waits
-            || calls >= CALLS_PER_WORKER
+            || self.calls.get(&vm).is_some_and(|calls| *calls >= CALLS_PER_WORKER)
             || self.calling.contains_key(&task)
             || self.proposed.contains(&task)
     }
@@ -492,7 +528,11 @@
     fn forget(&mut self, state: &State, now: Millis) {
         self.contacts.retain(|vm, _| state.vm(*vm).is_some());
         self.statuses.retain(|vm, _| state.vm(*vm).is_some());
-        self.seen_running.retain(|task, _| state.task(*task).is_some());
+        self.looked.retain(|vm, _| state.vm(*vm).is_some());
+        self.calls.retain(|_, calls| *calls > 0);
+        if self.seen_running.len() > state.tasks_len() * 2 + 1000 {
+            self.seen_running.retain(|task, _| state.task(*task).is_some());
+        }
         self.wait.retain(|_, until| now < *until);
     }
 }
--- a/crates/pond-control/src/replica.rs
+++ b/crates/pond-control/src/replica.rs
@@ -541,6 +541,12 @@
         if leads {
             self.log_change(&change);
         }
+        if let Some(duty) = &mut self.duty {
+            duty.reconciler.notice(&self.state, &change);
+            if matches!(change, Change::Order { .. }) {
+                duty.scheduler.units_changed();
+            }
+        }
         let reply = self.state.apply(change);
         if let (Some(own), Some(duty)) =
             (self.own.remove(&(OWN_BY_INDEX | entry.index)), &mut self.duty)
--- a/crates/pond-sched/src/ladder.rs
+++ b/crates/pond-sched/src/ladder.rs
@@ -6,7 +6,7 @@
 use pond_state::{Action, Change, Decision, Phase, State, Task, VmRecord};
 
 use crate::harm::{Beside, Interference, Victim};
-use crate::kind::Kinds;
+use crate::info::{Info, Infos};
 use crate::occupancy::Occupancy;
 
 /// How the ladder behaves.
@@ -67,8 +67,8 @@
     pub state: &'a State,
     /// What is believed of interference.
     pub harm: &'a Interference,
-    /// The keys of kinds.
-    pub kinds: &'a Kinds,
+    /// What is known of the tasks' units.
+    pub infos: &'a Infos,
     /// What ran where, lately.
     pub occupancy: &'a Occupancy,
 }
@@ -155,8 +155,8 @@
         vm: &VmRecord,
         now: Millis,
     ) -> Vec<Change> {
-        let Known { state, harm, kinds, .. } = *known;
-        let batch = steerable(state, kinds, vm.key);
+        let Known { state, harm, infos, .. } = *known;
+        let batch = steerable(state, infos, vm.key);
         if batch.is_empty() {
             return Vec::new();
         }
@@ -179,13 +179,13 @@
 
     /// Services with an objective on a VM, with what they take now.
     fn guarded(&self, known: &Known<'_>, vm: VmKey, beside: &[Beside]) -> Vec<Guarded> {
-        let Known { state, harm, kinds, occupancy } = *known;
+        let Known { state, harm, infos, occupancy } = *known;
         let settled = occupancy.since(vm).unwrap_or(Millis(0)) + 1_000;
         let tasks = state.tasks_on(vm).filter(|task| !task.phase.ending());
         let guard = |task: &Task| {
-            let unit = &state.unit(&task.unit)?.unit;
-            let objective_us = f64::from(unit.service()?.p99_ms?) * 1000.0;
-            let victim = harm.victim(kinds.get(unit.kind_name())?);
+            let info = infos.get(task.key)?;
+            let objective_us = info.objective_us?;
+            let victim = harm.victim(info.kind);
             let baseline = harm.baseline(victim)?;
             let expected = baseline * harm.slowdown(victim, beside);
             // A measurement from before the last change says nothing of what runs now.
@@ -328,13 +328,11 @@
 }
 
 /// The batch tasks on a VM that run and can be steered.
-fn steerable<'a>(state: &'a State, kinds: &Kinds, vm: VmKey) -> Vec<Steerable<'a>> {
+fn steerable<'a>(state: &'a State, infos: &Infos, vm: VmKey) -> Vec<Steerable<'a>> {
     let steer = |task: &'a Task| {
         let running = matches!(task.phase, Phase::Running | Phase::Slowed(_) | Phase::Paused);
-        let unit = &state.unit(&task.unit)?.unit;
-        unit.job().filter(|_| running)?;
+        let Info { kind, .. } = infos.get(task.key).filter(|info| info.job && running)?;
         let share = share_of(task.phase);
-        let kind = kinds.get(unit.kind_name())?;
         Some(Steerable { task, beside: Beside { kind, share: f64::from(share) / 100.0 }, share })
     };
     state.tasks_on(vm).filter_map(steer).collect()
--- a/crates/pond-sched/src/lib.rs
+++ b/crates/pond-sched/src/lib.rs
@@ -9,6 +9,7 @@
 mod deadline;
 mod fleet;
 mod harm;
+mod info;
 mod kind;
 mod ladder;
 mod miss;
--- a/crates/pond-sched/src/plan.rs
+++ b/crates/pond-sched/src/plan.rs
@@ -10,6 +10,7 @@
 use crate::deadline::Deadlines;
 use crate::fleet::Fleet;
 use crate::harm::{Beside, Interference};
+use crate::info::{Info, Infos};
 use crate::kind::Kinds;
 use crate::ladder::{Known, Ladder, Tuning as LadderTuning, share_of};
 use crate::miss::Misses;
@@ -87,6 +88,7 @@
     /// nowhere cost the log nothing.
     judged: BTreeMap<UnitName, u64>,
     kinds: Kinds,
+    infos: Infos,
     harm: Interference,
     usage: Usage,
     occupancy: Occupancy,
@@ -137,6 +139,7 @@
             tuning,
             judged: BTreeMap::new(),
             kinds: Kinds::default(),
+            infos: Infos::default(),
             harm: Interference::new(tuning.learn_pairs),
             usage: Usage::default(),
             occupancy: Occupancy::default(),
@@ -149,6 +152,11 @@
         }
     }
 
+    /// An operator's order was applied: units may have changed.
+    pub fn units_changed(&mut self) {
+        self.infos.clear();
+    }
+
     /// What it believes of interference.
     pub fn interference(&self) -> &Interference {
         &self.harm
@@ -158,8 +166,8 @@
     pub fn measure(&mut self, state: &State, measured: &[Measured]) {
         for report in measured {
             let Some(task) = state.task(report.task) else { continue };
-            let Some(unit) = state.unit(&task.unit).map(|record| &record.unit) else { continue };
-            let kind = self.kinds.key(unit.kind_name());
+            let info = self.infos.look_up(state, &mut self.kinds, task);
+            let Some(Info { kind, .. }) = info else { continue };
             self.usage.learn(kind, task.size, report.milli_cpu, report.memory_mib);
             let Some(p99_us) = report.p99_us else { continue };
             let Some(beside) = self.occupancy.at(task.vm, report.at) else { continue };
@@ -205,8 +213,8 @@
     }
 
     fn plan_ladder(&mut self, state: &State, now: Millis) -> Vec<Change> {
-        let Scheduler { harm, kinds, usage, occupancy, ladder, .. } = self;
-        let known = Known { state, harm, kinds, occupancy };
+        let Scheduler { harm, kinds, infos, usage, occupancy, ladder, .. } = self;
+        let known = Known { state, harm, infos, occupancy };
         let given = Given::default();
         let better = |task: &Task| {
             let unit = &state.unit(&task.unit)?.unit;
@@ -227,11 +235,9 @@
         for vm in state.vms() {
             let mut beside = Vec::new();
             for task in state.tasks_on(vm.key) {
-                let Some(unit) = state.unit(&task.unit).map(|record| &record.unit) else {
-                    continue;
-                };
-                if unit.job().is_some() && task.started.is_some() {
-                    let kind = self.kinds.key(unit.kind_name());
+                let info = self.infos.look_up(state, &mut self.kinds, task);
+                let Some(Info { kind, job: true, .. }) = info else { continue };
+                if task.started.is_some() {
                     let share = f64::from(share_of(task.phase)) / 100.0;
                     beside.push(Beside { kind, share });
                 }
@@ -239,6 +245,7 @@
             self.occupancy.note(vm.key, now, beside);
         }
         self.occupancy.keep(|vm| state.vm(vm).is_some());
+        self.infos.forget(state);
     }
 
     fn plan_placements(&mut self, state: &State, now: Millis) -> Vec<Change> {
--- a/crates/pond-state/src/state.rs
+++ b/crates/pond-state/src/state.rs
@@ -132,6 +132,11 @@
         self.wanting.iter().filter_map(|name| self.units.get(name))
     }
 
+    /// How many tasks there are.
+    pub fn tasks_len(&self) -> usize {
+        self.tasks.len()
+    }
+
     /// All tasks, by key.
     pub fn tasks(&self) -> impl Iterator<Item = &Task> {
         self.tasks.values()
--- a/crates/pond-test/src/colocation.rs
+++ b/crates/pond-test/src/colocation.rs
@@ -153,6 +153,7 @@
     fn order(&mut self, units: Vec<Unit>) {
         let meta = Meta { at: Millis(self.now), ..Meta::default() };
         self.state.apply(Change::Order { meta, order: Order::Apply { units } });
+        self.scheduler.units_changed();
     }
 
     fn submit(&mut self, template: usize) {
