Split the router and the deciding thread by job; test leases and hostile input

Change: the router and the deciding thread are folders of modules with one job each, moved without a change of logic. New tests run state, scheduler and reconciler against workers whose clocks drift, whose messages are late, lost and overtaken, and whose leaders change at any step; and put wrong versions, tokens, frames, silence and broken bodies to links and HTTP.

Found by them: batch work that was held for a service stayed held when the service left its VM, since the ladder looked only at VMs with services. It is released now.

Delays between data centres are no settings any more: nothing applied them.

--- a/crates/pond-command/src/command/role.rs
+++ b/crates/pond-command/src/command/role.rs
@@ -30,7 +30,7 @@
     match load(Path::new(file))? {
         File::Process(process) => {
             let log = pond_log::start(process.log).new(pond_log::name(&process.name));
-            Ok((process, log))
+            Ok((*process, log))
         }
         _ => Err(call.usage(format!("{file} holds no settings of a process"))),
     }
--- a/crates/pond-control/benches/control.rs
+++ b/crates/pond-control/benches/control.rs
@@ -234,7 +234,8 @@
     let mut key = 0;
     for node in 0..NODES {
         let terms = Terms::new(WireRole::Endpoint, &format!("node-{node}"), "here", Life::random());
-        let terms = Arc::new(terms.with_address(&format!("10.0.{}.{}:7", node / 250, node % 250)));
+        let terms = terms.with_address(&format!("10.0.{}.{}:7", node / 250, node % 250));
+        let terms = Arc::new(terms.with_times(pond_follow::BEAT, pond_follow::SILENCE));
         for replica in &replicas {
             tokio::spawn(dial(replica.internal, LinkKey(key), terms.clone(), events.clone()));
             key += 1;
--- /dev/null
+++ b/crates/pond-control/src/replica/links.rs
@@ -0,0 +1,105 @@
+//! Links to other replicas, entries and endpoint processes.
+
+use pond_link::{Event, EventKind, LinkKey};
+use pond_log::event;
+use pond_proto::Millis;
+use pond_proto::quorum::{Body as Letter, Letter as QuorumLetter};
+use pond_proto::wire::{Beat, Body, Role as WireRole};
+use pond_quorum::{Core, Input as QuorumInput, Start, Tuning};
+
+use super::Replica;
+
+impl Replica {
+    // Links.
+
+    pub(super) fn link(&mut self, now: Millis, event: Event) {
+        match event.kind {
+            EventKind::Up { hello, sender, .. } => {
+                let role = hello.role();
+                self.links.insert(event.link, (role, hello.name.clone()));
+                if role == WireRole::Control {
+                    let present = Letter::Present(self.formation.present());
+                    let letter = QuorumLetter {
+                        from: self.core.id(),
+                        to: 0,
+                        term: self.core.term(),
+                        body: Some(present),
+                    };
+                    sender.send(Body::Quorum(letter));
+                    event!(self.parts.log, LINK_UP, "peer" => hello.name.clone());
+                    self.peers.insert(hello.name, (event.link, sender));
+                } else {
+                    let (leader, term) = self.told.clone();
+                    self.publisher.link_up(event.link, &hello, sender);
+                    self.publisher.beat_one(event.link, &leader, term);
+                }
+            }
+            EventKind::Down(error) => self.link_down(event.link, &error),
+            EventKind::Frame(body) => self.frame(now, event.link, body),
+        }
+    }
+
+    pub(super) fn link_down(&mut self, link: LinkKey, error: &pond_link::Error) {
+        self.publisher.link_down(link);
+        let known = self.links.remove(&link);
+        self.peers.retain(|_, (other, _)| *other != link);
+        match known {
+            Some((_, name)) => {
+                event!(self.parts.log, LINK_DOWN, "peer" => name, "why" => error.to_string());
+            }
+            None if link.accepted() => {
+                event!(self.parts.log, LINK_REFUSED, "why" => error.to_string());
+            }
+            None => {}
+        }
+    }
+
+    pub(super) fn frame(&mut self, now: Millis, link: LinkKey, body: Body) {
+        let Some((role, _)) = self.links.get(&link) else { return };
+        match (role, body) {
+            (WireRole::Control, Body::Quorum(letter)) => self.letter(now, letter),
+            (WireRole::Control, Body::Beat(beat)) => self.compare(link, &beat),
+            (_, Body::ViewAck(ack)) => self.publisher.acked(link, ack),
+            (WireRole::Entry, Body::ClaimAsk(ask)) => self.claim(now, link, ask),
+            (WireRole::Entry, Body::ClaimEnd(end)) => self.end_claim(now, end),
+            _ => {}
+        }
+    }
+
+    pub(super) fn letter(&mut self, now: Millis, letter: QuorumLetter) {
+        if let Some(Letter::Present(present)) = letter.body {
+            self.names.insert(present.member.id, present.member.name.clone());
+            self.formation.hear(present);
+            self.try_to_form();
+            return;
+        }
+        self.core.step(now, QuorumInput::Letter(letter));
+    }
+
+    pub(super) fn try_to_form(&mut self) {
+        let Some(members) = self.formation.first_members() else { return };
+        event!(self.parts.log, QUORUM_FORMED, "replicas" => members.list.len());
+        self.formation.set_formed();
+        let start = Start {
+            id: self.core.id(),
+            hard: Default::default(),
+            snapshot: None,
+            entries: Vec::new(),
+            members,
+            seed: self.core.id(),
+        };
+        if self.core.term() == 0 {
+            self.core = Core::new(start, Tuning::default(), self.parts.clock.now());
+        }
+    }
+
+    /// Compares the checksum of the state with another replica's at the same index.
+    pub(super) fn compare(&mut self, link: LinkKey, beat: &Beat) {
+        let (index, checksum) = self.checksum;
+        if index > 0 && beat.snapshot_index == index && beat.checksum != checksum {
+            let peer = self.links.get(&link).map(|(_, name)| name.clone());
+            event!(self.parts.log, STATE_DIFFERS,
+                "index" => index, "peer" => peer.unwrap_or_default());
+        }
+    }
+}
--- /dev/null
+++ b/crates/pond-control/src/replica/orders.rs
@@ -0,0 +1,131 @@
+//! Orders, claims and proposals, and who is told what came of them.
+
+use pond_link::LinkKey;
+use pond_log::event;
+use pond_proto::Millis;
+use pond_proto::wire::{Body, ClaimAsk, ClaimEnd, ClaimTell, Verdict};
+use pond_quorum::Input as QuorumInput;
+use pond_state::{Change, Holder, KeptAnswer, Meta, Order as StateOrder, Reply};
+
+use super::Replica;
+use crate::ring::Unready;
+use crate::tickets::Waiter;
+
+impl Replica {
+    // Orders, claims and reads.
+
+    pub(super) fn order(
+        &mut self,
+        now: Millis,
+        meta: Meta,
+        order: StateOrder,
+        reply: tokio::sync::oneshot::Sender<Result<Reply, Unready>>,
+    ) {
+        let meta = Meta { at: self.parts.clock.wall(), ..meta };
+        self.propose(now, Change::Order { meta, order }, Waiter::Operator(reply));
+    }
+
+    pub(super) fn claim(&mut self, now: Millis, link: LinkKey, ask: ClaimAsk) {
+        let ticket = ask.ticket;
+        let change = Change::Claim {
+            at: self.parts.clock.wall(),
+            service: ask.service,
+            key: ask.key,
+            digest: ask.digest,
+            holder: Holder { life: ask.id.life, number: ask.id.number },
+        };
+        self.propose(now, change, Waiter::Claim { link, ticket });
+    }
+
+    pub(super) fn end_claim(&mut self, now: Millis, end: ClaimEnd) {
+        let answer = end.answer.map(|answer| KeptAnswer {
+            status: answer.status as u16,
+            content_type: answer.content_type,
+            body: answer.body,
+        });
+        let change = Change::Unclaim {
+            at: self.parts.clock.wall(),
+            service: end.service,
+            key: end.key,
+            holder: Holder { life: end.id.life, number: end.id.number },
+            not_run: end.not_run,
+            answer,
+        };
+        self.propose(now, change, Waiter::Own);
+    }
+
+    pub(super) fn propose(&mut self, now: Millis, change: Change, waiter: Waiter) {
+        let data = change.encode();
+        let own = matches!(waiter, Waiter::Own);
+        let ticket = self.tickets.propose(waiter);
+        if own {
+            self.own.insert(ticket, change);
+        }
+        if !self.core.ready() {
+            self.reject(ticket);
+            return;
+        }
+        self.core.step(now, QuorumInput::Propose { ticket, data });
+    }
+
+    pub(super) fn reject(&mut self, ticket: u64) {
+        let unready = Unready { leader: self.leader_operator() };
+        let (waiter, look) = self.tickets.rejected(ticket);
+        if let Some(look) = look {
+            look(Err(unready.clone()));
+        }
+        if let Some(waiter) = waiter {
+            self.tell_lost(waiter, unready);
+        }
+        if let (Some(change), Some(duty)) = (self.own.remove(&ticket), &mut self.duty) {
+            duty.reconciler.settled(&change);
+        }
+    }
+
+    pub(super) fn tell_lost(&self, waiter: Waiter, unready: Unready) {
+        match waiter {
+            Waiter::Operator(reply) => {
+                let _ = reply.send(Err(unready));
+            }
+            Waiter::Claim { link, ticket } => {
+                let verdict = Verdict::NoQuorum as i32;
+                let tell = ClaimTell { ticket, verdict, answer: None };
+                self.publisher.send(link, Body::ClaimTell(tell));
+            }
+            Waiter::Own => {}
+        }
+    }
+
+    pub(super) fn tell(&self, waiter: Waiter, reply: Reply) {
+        match waiter {
+            Waiter::Operator(sender) => {
+                match &reply {
+                    Reply::Accepted { version, what } => event!(self.parts.log, CHANGE_ACCEPTED,
+                        "version" => *version, "what" => what.clone()),
+                    other => event!(self.parts.log, CHANGE_REFUSED,
+                        "why" => format!("{other:?}")),
+                }
+                let _ = sender.send(Ok(reply));
+            }
+            Waiter::Claim { link, ticket } => {
+                let Reply::Claim(decided) = reply else { return };
+                let answer = decided.answer.map(|kept| pond_proto::wire::Answer {
+                    status: u32::from(kept.status),
+                    content_type: kept.content_type,
+                    body: kept.body,
+                    ..Default::default()
+                });
+                let tell = ClaimTell { ticket, verdict: decided.verdict, answer };
+                self.publisher.send(link, Body::ClaimTell(tell));
+            }
+            Waiter::Own => {}
+        }
+    }
+
+    /// The leader's address for operators.
+    pub(super) fn leader_operator(&self) -> Option<String> {
+        let leader = self.core.leader()?;
+        let replica = self.parts.replicas.iter().find(|replica| replica.name == leader.name)?;
+        Some(replica.operator.to_string())
+    }
+}
--- /dev/null
+++ b/crates/pond-control/src/replica/outputs.rs
@@ -0,0 +1,192 @@
+//! Carries out what the quorum hands out: files, messages, the replicated state.
+
+use std::sync::Arc;
+
+use pond_log::event;
+use pond_proto::quorum::{Entry, Kind, Letter as QuorumLetter};
+use pond_proto::wire::Body;
+use pond_quorum::{Input as QuorumInput, Output, Role, SnapshotImage};
+use pond_state::{Change, State};
+use pond_store::Snapshot;
+
+use super::Replica;
+use crate::ring::Unready;
+
+/// A snapshot is taken at every index that is a multiple of this, on all replicas.
+const SNAPSHOT_EVERY: u64 = 8192;
+
+/// Marks own changes that are known by their place in the log.
+const OWN_BY_INDEX: u64 = 1 << 63;
+
+impl Replica {
+    // Outputs of the quorum.
+
+    pub(super) fn carry_out(&mut self) -> Result<(), pond_store::Error> {
+        loop {
+            let outputs = self.core.outputs(self.parts.clock.now());
+            if outputs.is_empty() {
+                return Ok(());
+            }
+            let persisted = self.persist(&outputs)?;
+            for output in outputs {
+                self.output(output)?;
+            }
+            if persisted {
+                self.core.step(self.parts.clock.now(), QuorumInput::Persisted);
+            }
+        }
+    }
+
+    /// Sends what need not wait, then writes and syncs what must last.
+    pub(super) fn persist(&mut self, outputs: &[Output]) -> Result<bool, pond_store::Error> {
+        for output in outputs {
+            if let Output::Send(letter) = output {
+                self.send(letter.clone());
+            }
+            if let Output::Install { image, keeps_log } = output {
+                let snapshot =
+                    Snapshot { head: image.head.clone(), data: image.data.as_ref().clone() };
+                if *keeps_log {
+                    self.parts.store.save(&snapshot)?;
+                } else {
+                    self.parts.store.replace(&snapshot)?;
+                }
+            }
+        }
+        let mut wrote = false;
+        for output in outputs {
+            if let Output::Persist { hard, entries } = output {
+                self.parts.store.append(*hard, entries)?;
+                wrote = true;
+            }
+        }
+        self.parts.store.sync()?;
+        Ok(wrote)
+    }
+
+    pub(super) fn output(&mut self, output: Output) -> Result<(), pond_store::Error> {
+        match output {
+            Output::Persist { .. } | Output::Send(_) => {}
+            Output::SendDurable(letter) => self.send(letter),
+            Output::Appended { ticket, index, term } => {
+                self.tickets.appended(ticket, index, term);
+                if let Some(change) = self.own.remove(&ticket) {
+                    // From now on it is known by its place in the log.
+                    self.own.insert(OWN_BY_INDEX | index, change);
+                }
+            }
+            Output::Rejected { ticket, .. } => self.reject(ticket),
+            Output::Apply(entries) => self.apply(entries)?,
+            Output::Install { image, .. } => self.install(&image),
+            Output::ReadReady { ticket, index } => {
+                self.tickets.confirmed(ticket, index);
+                self.look();
+            }
+            Output::RoleChanged => self.role_changed(),
+            Output::MembersChanged(members) => {
+                self.formation.set_formed();
+                for member in &members.list {
+                    self.names.insert(member.id, member.name.clone());
+                }
+                let names: Vec<&str> =
+                    members.list.iter().map(|member| member.name.as_str()).collect();
+                event!(self.parts.log, MEMBERS, "members" => names.join(" "));
+            }
+        }
+        Ok(())
+    }
+
+    pub(super) fn send(&self, letter: QuorumLetter) {
+        let name = self.names.get(&letter.to);
+        if let Some((_, sender)) = name.and_then(|name| self.peers.get(name)) {
+            sender.send(Body::Quorum(letter));
+        }
+    }
+
+    pub(super) fn apply(&mut self, entries: Vec<Entry>) -> Result<(), pond_store::Error> {
+        for entry in entries {
+            if entry.index <= self.applied {
+                continue;
+            }
+            self.applied = entry.index;
+            if entry.kind() == Kind::Change {
+                self.apply_change(&entry);
+            }
+            if entry.index % SNAPSHOT_EVERY == 0 {
+                self.save_snapshot(entry.index)?;
+            }
+        }
+        self.look();
+        Ok(())
+    }
+
+    pub(super) fn apply_change(&mut self, entry: &Entry) {
+        let Ok(change) = Change::decode(&entry.data) else { return };
+        let leads = self.duty.is_some();
+        if leads {
+            self.log_change(&change);
+        }
+        if let Some(duty) = &mut self.duty {
+            duty.reconciler.notice(&self.state, &change);
+            if matches!(change, Change::Order { .. }) {
+                duty.scheduler.units_changed();
+            }
+        }
+        let reply = self.state.apply(change);
+        if let (Some(own), Some(duty)) =
+            (self.own.remove(&(OWN_BY_INDEX | entry.index)), &mut self.duty)
+        {
+            duty.reconciler.settled(&own);
+        }
+        let Some((same, waiter)) = self.tickets.applied(entry.index, entry.term) else { return };
+        if same {
+            self.tell(waiter, reply);
+        } else {
+            self.tell_lost(waiter, Unready { leader: self.leader_operator() });
+        }
+    }
+
+    pub(super) fn save_snapshot(&mut self, index: u64) -> Result<(), pond_store::Error> {
+        let Some(head) = self.core.head_at(index) else { return Ok(()) };
+        let data = self.state.encode();
+        self.checksum = (index, self.state.checksum());
+        let snapshot = Snapshot { head: head.clone(), data };
+        self.parts.store.save(&snapshot)?;
+        event!(self.parts.log, SNAPSHOT, "index" => index, "bytes" => snapshot.data.len());
+        let image = SnapshotImage { head, data: Arc::new(snapshot.data) };
+        self.core.step(self.parts.clock.now(), QuorumInput::Compact(image));
+        Ok(())
+    }
+
+    pub(super) fn install(&mut self, image: &SnapshotImage) {
+        event!(self.parts.log, INSTALLED, "index" => image.head.index);
+        if let Ok(state) = State::decode(&image.data) {
+            self.state = state;
+            self.applied = image.head.index;
+        }
+    }
+
+    /// Does the reads that are due.
+    pub(super) fn look(&mut self) {
+        for look in self.tickets.due(self.applied) {
+            look(Ok(&self.state));
+        }
+    }
+
+    pub(super) fn role_changed(&mut self) {
+        let leads = self.core.role() == Role::Leader;
+        if !leads && self.led.take().is_some() {
+            event!(self.parts.log, FOLLOWER, "term" => self.core.term());
+            self.duty = None;
+            self.own.clear();
+            let unready = Unready { leader: self.leader_operator() };
+            for waiter in self.tickets.drain() {
+                self.tell_lost(waiter, unready.clone());
+            }
+        }
+        if leads && self.led.is_none() {
+            self.led = Some(self.core.term());
+            event!(self.parts.log, LEADER, "term" => self.core.term());
+        }
+    }
+}
--- /dev/null
+++ b/crates/pond-http/tests/limits.rs
@@ -0,0 +1,152 @@
+//! What the server makes of slow, large and broken requests, and the client of broken answers.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use pond_http::{Call, Client, Handler, Limits, Method, Reply, StatusCode, Stop, serve};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Counts the requests that it sees and answers with their bodies.
+#[derive(Default)]
+struct Echo {
+    seen: AtomicU32,
+}
+
+impl Handler for Echo {
+    fn handle(&self, call: Call) -> Pin<Box<dyn Future<Output = Reply> + Send + '_>> {
+        self.seen.fetch_add(1, Ordering::Relaxed);
+        Box::pin(async move { Reply::new(StatusCode::OK, call.body) })
+    }
+}
+
+async fn server() -> (SocketAddr, Arc<Echo>, Stop) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("listens");
+    let address = listener.local_addr().expect("an address");
+    let (echo, stop) = (Arc::new(Echo::default()), Stop::new());
+    let limits = Limits { connections: 8, read: Duration::from_millis(200), body_bytes: 1000 };
+    tokio::spawn(serve(listener, limits, stop.clone(), echo.clone()));
+    (address, echo, stop)
+}
+
+/// Sends bytes and reads until the server closes the connection.
+async fn say(address: SocketAddr, bytes: &[u8], close: bool) -> String {
+    let mut stream = TcpStream::connect(address).await.expect("connects");
+    stream.write_all(bytes).await.expect("writes");
+    if close {
+        stream.shutdown().await.expect("shuts");
+    }
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+#[tokio::test]
+async fn requests_that_are_not_whole_never_reach_the_handler() {
+    let head =
+        |length: u32| format!("POST / HTTP/1.1\r\nhost: a\r\ncontent-length: {length}\r\n\r\n");
+    let table: [(&str, String, bool, &str); 5] = [
+        ("a head that never ends", "POST / HTTP/1.1\r\nhost:".to_owned(), false, ""),
+        ("a body that never comes", head(10), false, "HTTP/1.1 408"),
+        ("a body that breaks off", format!("{}abc", head(10)), true, "HTTP/1.1 400"),
+        (
+            "a body that is too large",
+            format!("{}{}", head(2000), "x".repeat(2000)),
+            true,
+            "HTTP/1.1 413",
+        ),
+        ("no HTTP at all", "hello\r\n\r\n".to_owned(), true, "HTTP/1.1 400"),
+    ];
+    for (name, bytes, close, expected) in table {
+        let (address, echo, _) = server().await;
+        let answer = say(address, bytes.as_bytes(), close).await;
+        assert!(answer.starts_with(expected), "{name}: {answer}");
+        assert_eq!(echo.seen.load(Ordering::Relaxed), 0, "{name}");
+    }
+}
+
+#[tokio::test]
+async fn idle_connections_beyond_the_limit_do_not_keep_others_out_for_ever() {
+    let (address, _, _) = server().await;
+    let mut idle = Vec::new();
+    for _ in 0..8 {
+        idle.push(TcpStream::connect(address).await.expect("connects"));
+    }
+    // All eight places are taken until the idle ones have been silent for too long.
+    let call = Call::new(Method::POST, "/", "a");
+    let reply = Client::new().call(&address.to_string(), call, Duration::from_secs(20)).await;
+    assert_eq!(reply.expect("an answer").body, "a");
+}
+
+#[tokio::test]
+async fn a_stop_answers_what_has_arrived() {
+    let (address, _, stop) = server().await;
+    let client = Client::new();
+    let ask = || client.call("", Call::new(Method::POST, "/", "a"), Duration::from_secs(5));
+    drop(ask());
+    let mut stream = TcpStream::connect(address).await.expect("connects");
+    stream
+        .write_all(b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\na")
+        .await
+        .expect("writes");
+    stop.stop();
+    stream.write_all(b"b").await.expect("writes");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.expect("reads");
+    assert!(answer.starts_with("HTTP/1.1 200") && answer.ends_with("ab"), "{answer}");
+    assert!(answer.contains("connection: close"), "{answer}");
+}
+
+/// A server that says these bytes to the first request on each connection, then closes it.
+async fn says(bytes: &'static [u8]) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("listens");
+    let address = listener.local_addr().expect("an address").to_string();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut head = [0; 1024];
+            let _ = stream.read(&mut head).await;
+            let _ = stream.write_all(bytes).await;
+        }
+    });
+    address
+}
+
+#[tokio::test]
+async fn the_client_knows_whether_a_request_may_have_run() {
+    let client = Client::new();
+    let call = || Call::new(Method::POST, "/", "a");
+    let patience = Duration::from_millis(500);
+    let nobody = client.call("127.0.0.1:1", call(), patience).await;
+    assert!(nobody.expect_err("nobody listens").not_sent());
+    let table: [(&str, &'static [u8]); 4] = [
+        ("closed without an answer", b""),
+        ("a head that breaks off", b"HTTP/1.1 200 OK\r\ncontent-le"),
+        ("a body that breaks off", b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nabc"),
+        (
+            "a chunk that breaks off",
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nab",
+        ),
+    ];
+    for (name, bytes) in table {
+        let address = says(bytes).await;
+        let error = client.call(&address, call(), patience).await.expect_err(name);
+        assert!(!error.not_sent(), "{name}: {error}");
+    }
+}
+
+#[tokio::test]
+async fn a_kept_connection_that_was_closed_is_replaced() {
+    let address = says(b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\na").await;
+    let client = Client::new();
+    for _ in 0..3 {
+        let call = Call::new(Method::POST, "/", "a");
+        let reply = client.call(&address, call, Duration::from_secs(5)).await;
+        assert_eq!(reply.expect("an answer").body, "a");
+        // Lets the connection notice that the other end has closed it.
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
--- a/crates/pond-local/benches/requests.rs
+++ b/crates/pond-local/benches/requests.rs
@@ -46,8 +46,6 @@
     File {
         name: "requests".to_owned(),
         data_centres: vec![DataCentre { name: "here".to_owned() }],
-        between_us: 0,
-        callers_us: 0,
         control: 3,
         entries: 2,
         lease: Lease::default(),
--- a/crates/pond-sched/src/ladder.rs
+++ b/crates/pond-sched/src/ladder.rs
@@ -160,6 +160,10 @@
         if batch.is_empty() {
             return Vec::new();
         }
+        let watched = |task: &Task| infos.get(task.key).is_some_and(|i| i.objective_us.is_some());
+        if !state.tasks_on(vm.key).any(watched) {
+            return release_all(vm, &batch, now);
+        }
         let beside: Vec<Beside> = batch.iter().map(|task| task.beside).collect();
         let guarded = self.guarded(known, vm.key, &beside);
         let pressed = guarded.iter().max_by(|a, b| strain(a).total_cmp(&strain(b)));
@@ -308,6 +312,13 @@
     }
 }
 
+/// Gives all batch tasks on a VM their full speed, as nothing there needs protection any more.
+fn release_all(vm: &VmRecord, batch: &[Steerable<'_>], now: Millis) -> Vec<Change> {
+    let held = batch.iter().filter(|task| task.share < 100);
+    let why = "no service with an objective is beside it any more";
+    held.map(|task| steer(task, Action::Release, why.to_owned(), vm, now)).collect()
+}
+
 /// How close a service is to its objective; 1 is at it.
 fn strain(guarded: &Guarded) -> f64 {
     guarded.now_us / guarded.objective_us
--- a/crates/pond-sched/tests/decisions.rs
+++ b/crates/pond-sched/tests/decisions.rs
@@ -282,6 +282,18 @@
     assert!(shares("loud").iter().any(|share| *share < 90), "{:?}", shares("loud"));
 }
 
+#[test]
+fn held_work_is_released_when_the_service_beside_it_has_gone() {
+    let mut state = state(vec![vm("a")]);
+    apply(&mut state, vec![job("job")]);
+    let mut scheduler = Scheduler::new();
+    plan(&mut state, &mut scheduler, 10);
+    let decision = pond_state::Decision::new(Millis(20), Action::Pause, "test");
+    state.apply(Change::Steer { at: Millis(20), task: TaskKey(0), decision });
+    plan(&mut state, &mut scheduler, 5_000);
+    assert_eq!(state.task(TaskKey(0)).expect("a task").phase, Phase::Running);
+}
+
 #[test]
 fn noisy_waves_cause_no_stampede_of_moves() {
     fn waves(ms: u64) -> f64 {
--- a/crates/pond-settings/src/installation.rs
+++ b/crates/pond-settings/src/installation.rs
@@ -11,12 +11,8 @@
 pub struct Installation {
     /// Its name.
     pub name: String,
-    /// Its data centres; the first one holds the callers' nearest entry.
+    /// Its data centres.
     pub data_centres: Vec<DataCentre>,
-    /// One-way delay between data centres, in microseconds.
-    pub between_us: u64,
-    /// One-way delay between callers and entries, in microseconds.
-    pub callers_us: u64,
     /// Number of control replicas: 1, 3 or 5.
     pub control: u32,
     /// Number of entries.
@@ -61,8 +57,6 @@
     Installation {
         name: reader.name("installation"),
         data_centres: read_data_centres(reader),
-        between_us: reader.number_or("between_data_centres_us", 0..=1_000_000, 500),
-        callers_us: reader.number_or("callers_us", 0..=1_000_000, 1000),
         control: reader.choice_or("control_replicas", &counts, 3),
         entries: reader.number_or("entries", 1..=16, 2) as u32,
         lease: reader.map_opt("lease").map(|map| read_lease(&map)).unwrap_or_default(),
--- a/crates/pond-settings/src/lib.rs
+++ b/crates/pond-settings/src/lib.rs
@@ -32,7 +32,7 @@
 #[derive(Clone, Debug)]
 pub enum File {
     /// Settings of one process.
-    Process(Process),
+    Process(Box<Process>),
     /// A whole small installation for `pondbay local`.
     Installation(Installation),
     /// Units for `pondbay apply`.
@@ -60,7 +60,7 @@
     };
     let reader = Reader::new(&root, &findings);
     let file = if reader.has("role") {
-        File::Process(process::read(&reader))
+        File::Process(Box::new(process::read(&reader)))
     } else if reader.has("installation") {
         File::Installation(installation::read(&reader))
     } else if reader.has("units") {
