Try a small step on work that is held for long

Ruled out: the fading of variances, which is far slower than the waves. Change: work held for 30 s while its services have room is given a tenth more, which either stands or corrects the coefficient.

--- a/crates/pond-sched/src/ladder.rs
+++ b/crates/pond-sched/src/ladder.rs
@@ -24,6 +24,8 @@
     pub calm_ms: Span,
     /// Time for which a task is slow or still before it is moved, in milliseconds.
     pub held_ms: Span,
+    /// Time for which a task is held before a small step is tried, in milliseconds.
+    pub explore_ms: Span,
     /// Moves of one job at most.
     pub moves_per_job: u32,
     /// Time in which at most a fiftieth of the batch tasks is moved, in milliseconds.
@@ -39,6 +41,7 @@
             release_below: 0.8,
             calm_ms: 2_000,
             held_ms: 20_000,
+            explore_ms: 30_000,
             moves_per_job: 3,
             move_window_ms: 15_000,
         }
@@ -268,12 +271,18 @@
             .iter()
             .map(|guard| room(guard) / cost(task, guard) * 100.0)
             .fold(100.0, f64::min);
-        let share = (task.share + gain.max(0.0) as u32).min(100) / STEP * STEP;
+        let mut share = (task.share + gain.max(0.0) as u32).min(100) / STEP * STEP;
+        let mut why = "the services beside it have room below their objectives again";
         if share <= task.share {
-            return Vec::new();
+            // What stands still teaches nothing: a small step shows whether it still harms.
+            if now.since(task.task.since) < self.tuning.explore_ms {
+                return Vec::new();
+            }
+            share = task.share / STEP * STEP + STEP;
+            why = "it was held for long; a small step shows whether it still harms";
         }
-        let action = if share == 100 { Action::Release } else { Action::Slow(share) };
-        let why = "the services beside it have room below their objectives again".to_owned();
+        let action = if share >= 100 { Action::Release } else { Action::Slow(share) };
+        let why = why.to_owned();
         vec![steer(task, action, why, vm, now)]
     }
 
