--- /dev/null
+++ b/crates/pond-command/tests/contracts.rs
@@ -0,0 +1,120 @@
+//! The operators' contract as a table, over HTTP.
+
+mod support;
+
+use std::time::Duration;
+
+use pond_http::{Call, Client, HeaderValue, Method, Reply};
+use serde_json::{Value, json};
+use support::{example, start};
+use tokio::runtime::Runtime;
+
+struct Operator {
+    runtime: Runtime,
+    client: Client,
+    address: String,
+}
+
+impl Operator {
+    fn post(&self, path: &str, body: &Value) -> Reply {
+        let mut call = Call::new(Method::POST, path, body.to_string());
+        call.headers.insert("content-type", HeaderValue::from_static("application/json"));
+        self.send(call)
+    }
+
+    fn get(&self, path: &str) -> Reply {
+        self.send(Call::new(Method::GET, path, ""))
+    }
+
+    fn send(&self, call: Call) -> Reply {
+        let patience = Duration::from_secs(20);
+        self.runtime.block_on(self.client.call(&self.address, call, patience)).expect("an answer")
+    }
+}
+
+fn origin(request: &str) -> Value {
+    json!({"who": "amara", "request": request})
+}
+
+fn label(request: &str, value: &str, expect: Option<u64>) -> Value {
+    json!({
+        "origin": {"who": "amara", "request": request, "expect": expect},
+        "vms": true,
+        "selector": {"terms": []},
+        "set": {"night": value},
+    })
+}
+
+fn code(reply: &Reply) -> String {
+    let body: Value = serde_json::from_slice(&reply.body).unwrap_or_default();
+    body["error_code"].as_str().unwrap_or_default().to_owned()
+}
+
+#[test]
+fn operators_are_answered_as_the_contract_says() {
+    let running = start(&example("ledgerline.yaml"));
+    running.wait_for("get units", "10/10");
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("one");
+    let mut operator = Operator { runtime, client: Client::new(), address: String::new() };
+    // The leader is the one that answers a read; the others name it.
+    let mut hints = Vec::new();
+    for address in running.installation.operators() {
+        let asked = Operator { address: address.to_string(), ..operator };
+        let reply = asked.get("/v1/units");
+        operator = asked;
+        if reply.status.is_success() {
+            hints.push(address.to_string());
+        } else {
+            assert_eq!((reply.status.as_u16(), code(&reply).as_str()), (503, "not-leading"));
+            hints.push(reply.header("pondbay-leader").unwrap_or_default().to_owned());
+        }
+    }
+    hints.dedup();
+    assert_eq!(hints.len(), 1, "{hints:?}");
+    operator.address = hints.remove(0);
+
+    let first = operator.post("/v1/labels", &label("same", "yes", None));
+    assert_eq!(first.status.as_u16(), 200);
+    let resent = operator.post("/v1/labels", &label("same", "yes", None));
+    assert_eq!(resent.body, first.body, "a resend gets the first result");
+    let version: Value = serde_json::from_slice(&first.body).expect("JSON");
+    let version = version["version"].as_u64().expect("a version");
+    let of_now = operator.post("/v1/labels", &label("a", "no", Some(version)));
+    assert_eq!(of_now.status.as_u16(), 200);
+
+    let cancel = json!({"origin": origin("b"), "names": ["nothing"]});
+    let drain = json!({"origin": origin("c"), "drained": true,
+        "selector": {"terms": [{"key": "rack", "operator": "In", "values": ["none"]}]}});
+    let nobody = json!({"origin": {"who": "", "request": "d"}, "teams": {}});
+    let table: [(&str, &str, Value, u16, &str); 6] = [
+        (
+            "another order under a known identity",
+            "/v1/labels",
+            label("same", "no", None),
+            409,
+            "identity-used",
+        ),
+        (
+            "an order based on an old version",
+            "/v1/labels",
+            label("e", "maybe", Some(version)),
+            409,
+            "conflict",
+        ),
+        ("a unit that is not there", "/v1/cancellations", cancel, 404, "no-match"),
+        ("VMs that are not there", "/v1/drains", drain, 404, "no-match"),
+        ("an order of nobody", "/v1/quotas", nobody, 400, "origin"),
+        ("no order at all", "/v1/quotas", json!({"teams": 3}), 400, ""),
+    ];
+    for (name, path, body, status, expected) in table {
+        let reply = operator.post(path, &body);
+        assert_eq!((reply.status.as_u16(), code(&reply).as_str()), (status, expected), "{name}");
+    }
+    let conflict = operator.post("/v1/labels", &label("f", "maybe", Some(version)));
+    let text = String::from_utf8_lossy(&conflict.body).into_owned();
+    assert!(text.contains("by amara") && text.contains("night=no"), "the difference: {text}");
+    assert_eq!(operator.get("/v1/units/nothing").status.as_u16(), 404);
+    let audit = String::from_utf8_lossy(&operator.get("/v1/audit?count=1").body).into_owned();
+    assert!(audit.contains("\"who\":\"amara\"") && audit.contains("night=no"), "{audit}");
+    running.installation.stop();
+}
