Remove a replica that comes back with an older disk

Change: a replica presents the index of its last entry; a leader that it had acknowledged more to says so in the log and removes it as a member. Only a leader that has led since can know. A test puts back an older disk, sees it known and removed, and goes on accepting.

--- a/crates/pond-control/src/formation.rs
+++ b/crates/pond-control/src/formation.rs
@@ -19,9 +19,9 @@
         Formation { own, names, formed, present: BTreeMap::new() }
     }
 
-    /// How this replica presents itself.
-    pub fn present(&self) -> Present {
-        Present { member: self.own.clone(), formed: self.formed }
+    /// How this replica presents itself, with the index of its last entry.
+    pub fn present(&self, last_index: u64) -> Present {
+        Present { member: self.own.clone(), formed: self.formed, last_index }
     }
 
     /// This replica has taken in a log that names members.
--- a/crates/pond-control/src/replica/links.rs
+++ b/crates/pond-control/src/replica/links.rs
@@ -3,7 +3,7 @@
 use pond_link::{Event, EventKind, LinkKey};
 use pond_log::event;
 use pond_proto::Millis;
-use pond_proto::quorum::{Body as Letter, Letter as QuorumLetter};
+use pond_proto::quorum::{Body as Letter, Letter as QuorumLetter, Present};
 use pond_proto::wire::{Beat, Body, Role as WireRole};
 use pond_quorum::{Core, Input as QuorumInput, Start, Tuning};
 
@@ -18,7 +18,7 @@
                 let role = hello.role();
                 self.links.insert(event.link, (role, hello.name.clone()));
                 if role == WireRole::Control {
-                    let present = Letter::Present(self.formation.present());
+                    let present = Letter::Present(self.formation.present(self.core.last_index()));
                     let letter = QuorumLetter {
                         from: self.core.id(),
                         to: 0,
@@ -69,6 +69,7 @@
     pub(super) fn letter(&mut self, now: Millis, letter: QuorumLetter) {
         if let Some(Letter::Present(present)) = letter.body {
             self.names.insert(present.member.id, present.member.name.clone());
+            self.refuse_older_disk(now, &present);
             self.formation.hear(present);
             self.try_to_form();
             return;
@@ -93,6 +94,18 @@
         }
     }
 
+    /// Removes a member whose log has become shorter than what it acknowledged: its disk was put
+    /// back to an older state, and its votes cannot be trusted.
+    fn refuse_older_disk(&mut self, now: Millis, present: &Present) {
+        let id = present.member.id;
+        let acknowledged = self.core.acknowledged(id).unwrap_or(0);
+        if present.last_index < acknowledged {
+            event!(self.parts.log, OLDER_DISK, "replica" => present.member.name.clone(),
+                "has" => present.last_index, "acknowledged" => acknowledged);
+            self.core.step(now, QuorumInput::Remove(id));
+        }
+    }
+
     /// Compares the checksum of the state with another replica's at the same index.
     pub(super) fn compare(&mut self, link: LinkKey, beat: &Beat) {
         let (index, checksum) = self.checksum;
--- a/crates/pond-log/src/events.rs
+++ b/crates/pond-log/src/events.rs
@@ -91,6 +91,8 @@
     STATE_DIFFERS = 309, Error, "replicas hold different states",
         "stop the replica that differs from the others, move its folder away, start it empty";
     REPLACED = 310, Warning, "a replica came back with another disk and is replaced", "nothing";
+    OLDER_DISK = 311, Error, "a replica came back with an older disk and is removed",
+        "stop it, move its folder away, start it empty";
     CHANGE_ACCEPTED = 400, Info, "a change was accepted", "nothing";
     CHANGE_REFUSED = 401, Info, "a change was refused", "nothing: the sender was told why";
     PLACED = 402, Info, "task placed", "nothing";
--- a/crates/pond-proto/src/quorum.rs
+++ b/crates/pond-proto/src/quorum.rs
@@ -223,6 +223,9 @@
     /// Whether the sender's disk holds a quorum's log already.
     #[prost(bool, tag = "2")]
     pub formed: bool,
+    /// Index of the last entry in the sender's log.
+    #[prost(uint64, tag = "3")]
+    pub last_index: u64,
 }
 
 /// The content of a message.
--- a/crates/pond-quorum/src/leader.rs
+++ b/crates/pond-quorum/src/leader.rs
@@ -85,6 +85,13 @@
         Some(self.majority_heard()? + self.lease_span())
     }
 
+    /// Up to which entry a follower has acknowledged the log to this leader; none if this replica
+    /// does not lead or knows no such follower.
+    pub fn acknowledged(&self, id: u64) -> Option<u64> {
+        let State::Leader(leading) = &self.state else { return None };
+        leading.progress.get(&id).map(|progress| progress.matched)
+    }
+
     /// The latest time at which a majority, this replica among it, still followed.
     fn majority_heard(&self) -> Option<Millis> {
         let State::Leader(leading) = &self.state else { return None };
--- a/crates/pond-quorum/tests/schedule.rs
+++ b/crates/pond-quorum/tests/schedule.rs
@@ -144,6 +144,25 @@
     assert_eq!(cluster.wrong, None);
 }
 
+#[test]
+fn an_older_disk_is_known_by_what_it_had_acknowledged_and_removed() {
+    let (mut cluster, leader) = settled();
+    let follower = (1..=3).find(|id| *id != leader).expect("another");
+    let older = cluster.copy_disk(follower).expect("a disk");
+    (0..10).for_each(|_| cluster.propose(leader));
+    cluster.run(100);
+    cluster.put_disk(follower, older);
+    let acknowledged = cluster.core(leader).expect("leader").acknowledged(follower);
+    let has = cluster.core(follower).expect("follower").last_index();
+    assert!(Some(has) < acknowledged, "{has} of {acknowledged:?}");
+    cluster.input(leader, Input::Remove(follower));
+    cluster.run(300);
+    assert!(!cluster.core(leader).expect("leader").members().votes(follower));
+    cluster.propose(leader);
+    cluster.run(200);
+    assert_eq!((cluster.accepted(), cluster.wrong.clone()), (21, None));
+}
+
 #[test]
 fn a_leader_without_a_majority_steps_down_and_accepts_nothing() {
     let (mut cluster, leader) = settled();
--- a/crates/pond-test/src/cluster.rs
+++ b/crates/pond-test/src/cluster.rs
@@ -216,6 +216,20 @@
         self.add_node(new);
     }
 
+    /// A copy of a replica's disk as it is now.
+    pub fn copy_disk(&self, id: u64) -> Option<Memory> {
+        self.nodes.get(&id).map(|node| node.disk.copy())
+    }
+
+    /// Stops a replica and starts it again on another disk.
+    pub fn put_disk(&mut self, id: u64, disk: Memory) {
+        if let Some(node) = self.nodes.get_mut(&id) {
+            node.running = None;
+            node.disk = disk;
+        }
+        self.start(id);
+    }
+
     /// Cuts two replicas off from each other for `wait` milliseconds.
     pub fn cut(&mut self, a: u64, b: u64, wait: u64) {
         self.cuts.insert((a.min(b), a.max(b)), self.time + wait);
