Split the reconciler by job, and bring the list of mutations up to date

Cause: the reconciler had grown to 550 lines with a function of eight arguments; the list of mutations named files that had moved. Change: a folder with what workers answered, how VMs are judged and what tasks need, moved without a change of logic; the answer to a call carries the call in one struct.

--- /dev/null
+++ b/crates/pond-control/src/reconcile/reconciler/work.rs
@@ -0,0 +1,169 @@
+//! What the tasks of a VM need: starts, steps of the ladder, stops.
+
+use pond_platform::{Checkpoint, Ending, Start, Stop, TaskState, TaskStatus, Throttle};
+use pond_proto::{Millis, TaskKey};
+use pond_state::{Action, Change, Decision, End, Phase, State, Task, VmRecord};
+
+use super::super::steps::Call;
+use super::Reconciler;
+
+impl Reconciler {
+    /// Hands out what the tasks of a VM need.
+    pub(super) fn work(
+        &mut self,
+        state: &State,
+        record: &VmRecord,
+        now: Millis,
+        wall: Millis,
+        quiet: &dyn Fn(&str, u64) -> Option<bool>,
+    ) {
+        if self.contact(record.key).stamp.is_none() {
+            return;
+        }
+        self.stop_strangers(state, record, now);
+        for task in state.tasks_on(record.key) {
+            if !self.busy(task.key, record.key, now) {
+                self.work_on(state, record, task, now, wall, quiet);
+            }
+        }
+    }
+
+    /// Stops tasks that the worker has and the state does not give to it.
+    fn stop_strangers(&mut self, state: &State, record: &VmRecord, now: Millis) {
+        let Some((_, statuses)) = self.statuses.get(&record.key) else { return };
+        let strange = |task: &TaskKey| state.task(*task).is_none_or(|t| t.vm != record.key);
+        let strangers: Vec<TaskKey> = statuses.keys().copied().filter(strange).collect();
+        for task in strangers {
+            if self.busy(task, record.key, now) {
+                continue;
+            }
+            self.wait.insert(task, now + self.times.renew_ms);
+            let stop = Stop { term: self.term, grace_ms: 0 };
+            self.call(record, Call::Stop(task, stop));
+        }
+    }
+
+    fn work_on(
+        &mut self,
+        state: &State,
+        record: &VmRecord,
+        task: &Task,
+        now: Millis,
+        wall: Millis,
+        quiet: &dyn Fn(&str, u64) -> Option<bool>,
+    ) {
+        match task.phase {
+            Phase::Starting => self.start(state, record, task),
+            Phase::Running => self.keep(state, record, task, now, wall, 100),
+            Phase::Slowed(share) => self.keep(state, record, task, now, wall, share),
+            Phase::Paused => self.pause(state, record, task, now, wall),
+            Phase::Draining => self.drain(record, task, wall, quiet),
+            Phase::Stopping => {
+                let stop = Stop { term: self.term, grace_ms: self.times.grace_ms };
+                self.call(record, Call::Stop(task.key, stop));
+            }
+        }
+    }
+
+    fn start(&mut self, state: &State, record: &VmRecord, task: &Task) {
+        let Some(unit) = state.unit(&task.unit).map(|record| &record.unit) else { return };
+        let surely_over_ms = self.times.surely_over_ms;
+        let contact = self.contact(record.key);
+        let Some((stamp, _)) = contact.stamp else { return };
+        contact.grant(surely_over_ms);
+        let service = unit.service();
+        let order = Start {
+            term: self.term,
+            stamp,
+            lease_ms: self.times.lease_ms,
+            unit: task.unit.clone(),
+            program: unit.program.clone(),
+            size: task.size,
+            slots: service.map_or(0, |service| service.slots),
+            connections: service.map_or(0, |service| service.connections),
+            resume_from: task.resume_from,
+        };
+        self.call(record, Call::Start(task.key, order));
+    }
+
+    /// What the worker says of a task, if it was asked after the task was seen running here.
+    fn status(&mut self, task: &Task, now: Millis) -> Option<Option<TaskStatus>> {
+        let seen = *self.seen_running.entry(task.key).or_insert(now);
+        let (asked, statuses) = self.statuses.get(&task.vm)?;
+        match statuses.get(&task.key) {
+            Some(status) => Some(Some(status.clone())),
+            None if *asked > seen => Some(None),
+            None => None,
+        }
+    }
+
+    /// Keeps a task running at a share of its processors.
+    fn keep(
+        &mut self,
+        state: &State,
+        record: &VmRecord,
+        task: &Task,
+        now: Millis,
+        wall: Millis,
+        share: u32,
+    ) {
+        match self.status(task, now) {
+            None => {}
+            // The worker has lost it; a stop makes sure that no late start revives it.
+            Some(None) => {
+                let stop = Stop { term: self.term, grace_ms: 0 };
+                self.call(record, Call::Stop(task.key, stop));
+            }
+            Some(Some(status)) => match status.state {
+                TaskState::Ended(ending) => self.end(state, wall, task.key, ended(ending)),
+                TaskState::Running if status.share != share => {
+                    let order = Throttle { term: self.term, share };
+                    self.call(record, Call::Throttle(task.key, order));
+                }
+                _ => {}
+            },
+        }
+    }
+
+    /// Checkpoints a task, then lets it stand still.
+    fn pause(&mut self, state: &State, record: &VmRecord, task: &Task, now: Millis, wall: Millis) {
+        let Some(Some(status)) = self.status(task, now) else {
+            return self.keep(state, record, task, now, wall, 0);
+        };
+        let standing = status.share == 0;
+        if !standing && status.checkpoint == task.checkpoint {
+            let order = Checkpoint { term: self.term };
+            return self.call(record, Call::Checkpoint(task.key, order));
+        }
+        self.keep(state, record, task, now, wall, 0);
+    }
+
+    /// Stops a draining endpoint once it is quiet, or has taken too long.
+    fn drain(
+        &mut self,
+        record: &VmRecord,
+        task: &Task,
+        wall: Millis,
+        quiet: &dyn Fn(&str, u64) -> Option<bool>,
+    ) {
+        let process = record.vm.endpoint_process.as_deref();
+        let quiet = match process.filter(|_| task.endpoint.is_some()) {
+            None => true,
+            Some(process) => quiet(process, task.key.0).unwrap_or(false),
+        };
+        if !quiet && wall.since(task.since) < self.times.drain_ms {
+            return;
+        }
+        let why = if quiet { "it has finished its requests" } else { "it drained for too long" };
+        let decision = Decision::new(wall, Action::Stop, why).with_vm(&record.vm.name);
+        self.propose(task.key, Change::Steer { at: wall, task: task.key, decision });
+    }
+}
+
+fn ended(ending: Ending) -> End {
+    match ending {
+        Ending::Done => End::Done,
+        Ending::Failed(reason) => End::Failed { reason },
+        Ending::Stopped | Ending::Expired => End::Lost,
+    }
+}
