Decide in one place what a caller is told

Change: expiry leaves it to Flight::truth, and the flag for what has run is gone, since an offer that broke stays with its request.

--- a/crates/pond-route/src/request.rs
+++ b/crates/pond-route/src/request.rs
@@ -111,8 +111,6 @@
     pub attempts: u32,
     pub offers: Vec<Offered>,
     pub hedged: bool,
-    /// An offer of it may have run.
-    pub ran: bool,
     /// The answer of an endpoint that failed, in case no other endpoint gives a better one.
     pub failure: Option<Answer>,
     pub revoked: bool,
@@ -134,7 +132,6 @@
             attempts: 0,
             offers: Vec::new(),
             hedged: false,
-            ran: false,
             failure: None,
             revoked: false,
             not_before: Micros(0),
@@ -147,7 +144,7 @@
     pub(crate) fn truth(&mut self, finish: Finish) -> Finish {
         match (finish, self.failure.take()) {
             (Finish::NotRun(_) | Finish::Unknown, Some(answer)) => Finish::Answered(answer),
-            (Finish::NotRun(_), None) if self.ran || !self.offers.is_empty() => Finish::Unknown,
+            (Finish::NotRun(_), None) if !self.offers.is_empty() => Finish::Unknown,
             (finish, _) => finish,
         }
     }
--- a/crates/pond-route/src/router/answer.rs
+++ b/crates/pond-route/src/router/answer.rs
@@ -29,7 +29,6 @@
             self.endpoint_failed(now, closed.endpoint);
             if self.may_retry(now, id) {
                 if let Some(flight) = self.flights.get_mut(&id) {
-                    flight.ran = true;
                     flight.failure = Some(answer);
                 }
                 self.again(now, id, NotRun::NoEndpoint);
@@ -75,7 +74,6 @@
         let Some(open) = found.filter(|open| open.state != OfferState::Broken) else { return };
         open.state = OfferState::Broken;
         let key = open.endpoint;
-        flight.ran = true;
         if let Some(endpoint) = self.table.get_mut(key) {
             endpoint.open = endpoint.open.saturating_sub(1);
         }
--- a/crates/pond-route/src/router/timer.rs
+++ b/crates/pond-route/src/router/timer.rs
@@ -85,8 +85,8 @@
         let finish = match flight.stage {
             Stage::Claiming if flight.held => Finish::Unknown,
             Stage::Claiming => Finish::NotRun(NotRun::NoQuorum),
-            _ if flight.offers.is_empty() => Finish::NotRun(expired_reason(flight)),
-            _ => Finish::Unknown,
+            // An offer that may have run makes it unknown, see `Flight::truth`.
+            _ => Finish::NotRun(expired_reason(flight)),
         };
         if flight.stage == Stage::Claiming
             && !flight.held
