Close the listener at once when a server stops, then ask callers to close

The change that served what had connected before a stop waited for 10 ms without a connection; callers that were asked to close connected again all the time, so it went on until the stop's time was over and all were dropped. Ruled out: the router, which had answered. Change: what has connected is taken at one moment and the listener is closed; only after that callers are asked to close.

--- a/crates/pond-http/src/server.rs
+++ b/crates/pond-http/src/server.rs
@@ -4,6 +4,7 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -22,9 +23,6 @@
 /// How long idle connections are kept after a stop.
 const LINGER: Duration = Duration::from_millis(500);
 
-/// How long a stopping server waits for another connection that had come before the stop.
-const LAST_ACCEPT: Duration = Duration::from_millis(10);
-
 /// Limits on what a server takes in.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -113,6 +111,7 @@
 /// Serves until `stop`, then until every request that had arrived is answered.
 pub async fn serve(listener: TcpListener, limits: Limits, stop: Stop, handler: Arc<dyn Handler>) {
     let room = Arc::new(Semaphore::new(limits.connections));
+    let closing = Arc::new(AtomicBool::new(false));
     loop {
         let permit = tokio::select! {
             permit = room.clone().acquire_owned() => permit,
@@ -126,41 +125,59 @@
             tokio::time::sleep(Duration::from_millis(20)).await;
             continue;
         };
-        spawn_one(stream, permit, limits, &stop, &handler);
+        spawn_one(stream, permit, limits, &stop, &closing, &handler);
     }
-    // What has connected before the stop may have sent a request already.
-    while let Ok(Ok((stream, _))) = timeout(LAST_ACCEPT, listener.accept()).await {
+    for stream in pending(listener) {
         let permit = room.clone().acquire_owned().await;
-        spawn_one(stream, permit, limits, &stop, &handler);
+        spawn_one(stream, permit, limits, &stop, &closing, &handler);
     }
-    drop(listener);
+    closing.store(true, Ordering::Relaxed);
     // All permits are free once all connections have ended.
     let _ = room.acquire_many(limits.connections as u32).await;
 }
 
+/// Closes a listener; the connections that had come before, whose requests may have arrived.
+fn pending(listener: TcpListener) -> Vec<TcpStream> {
+    let mut streams = Vec::new();
+    let Ok(listener) = listener.into_std() else { return streams };
+    while let Ok((stream, _)) = listener.accept() {
+        let taken = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+        streams.extend(taken);
+    }
+    streams
+}
+
 /// Serves a connection on a task of its own, which gives its place back at its end.
 fn spawn_one(
     stream: TcpStream,
     permit: Result<OwnedSemaphorePermit, AcquireError>,
     limits: Limits,
     stop: &Stop,
+    closing: &Arc<AtomicBool>,
     handler: &Arc<dyn Handler>,
 ) {
-    let (stop, handler) = (stop.clone(), handler.clone());
+    let (stop, closing, handler) = (stop.clone(), closing.clone(), handler.clone());
     tokio::spawn(async move {
-        serve_one(stream, limits, stop, handler).await;
+        serve_one(stream, limits, stop, closing, handler).await;
         drop(permit);
     });
 }
 
-async fn serve_one(stream: TcpStream, limits: Limits, stop: Stop, handler: Arc<dyn Handler>) {
+/// `closing` is set once nobody can connect any more: only then callers are asked to close, as
+/// they would connect again at once.
+async fn serve_one(
+    stream: TcpStream,
+    limits: Limits,
+    stop: Stop,
+    closing: Arc<AtomicBool>,
+    handler: Arc<dyn Handler>,
+) {
     let _ = stream.set_nodelay(true);
-    let stopping = stop.clone();
     let service = service_fn(move |request| {
-        let (handler, stopping) = (handler.clone(), stopping.clone());
+        let (handler, closing) = (handler.clone(), closing.clone());
         async move {
             let mut response = answer(request, limits, handler.as_ref()).await;
-            if stopping.stopped() {
+            if closing.load(Ordering::Relaxed) {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
