Test that an offer whose time is over is not started by a free slot

Cause: the mutation that takes the check out at the queue was not noticed, as a tick removes such offers too. Change: a test without a tick in between. The mutation is noticed now.

--- a/crates/pond-route/tests/faults.rs
+++ b/crates/pond-route/tests/faults.rs
@@ -1,8 +1,8 @@
 //! The promises on the path of requests, each with a table of faults.
 
-use pond_proto::Outcome;
-use pond_proto::wire::{Answer, Body, OfferId, RequestId};
-use pond_route::{Finish, NotRun, Tuning};
+use pond_proto::wire::{Answer, Body, Offer, OfferId, Refusal, RequestId};
+use pond_proto::{Micros, Outcome, view};
+use pond_route::{Admission, AdmissionOutput, Finish, NotRun, Tuning};
 use pond_test::{Behaviour, Path, cases};
 use proptest::prelude::*;
 
@@ -318,6 +318,37 @@
     assert_eq!(path.runs.get(&late), None);
 }
 
+#[test]
+fn an_offer_whose_time_is_over_is_not_started_when_a_slot_becomes_free() {
+    let endpoint = view::Endpoint {
+        task: 1,
+        process: "a".to_owned(),
+        address: "b".to_owned(),
+        slots: 1,
+        ..view::Endpoint::default()
+    };
+    let mut admission = Admission::new("a");
+    let delta = view::Delta { to: 1, endpoints: vec![endpoint], ..view::Delta::default() };
+    admission.view(Micros(0), delta);
+    admission.link_up(1, 7);
+    let id = |number| RequestId { life: 7, number };
+    for (number, remaining_ms) in [(1, 1000), (2, 5)] {
+        let offer = Offer { id: id(number), attempt: 1, task: 1, remaining_ms, ..Offer::default() };
+        admission.offer(Micros(0), 1, offer);
+    }
+    admission.take_outputs();
+    // No tick has come in between.
+    let first = OfferId { id: id(1), attempt: 1 };
+    admission.answered(Micros(10 * MS), first, 200, String::new(), Vec::new());
+    let outputs = admission.take_outputs();
+    let started = outputs.iter().any(|output| matches!(output, AdmissionOutput::Run(_)));
+    let refused = outputs.iter().any(|output| {
+        matches!(output, AdmissionOutput::Send { body: Body::Refuse(refuse), .. }
+            if refuse.offer.id == id(2) && refuse.refusal() == Refusal::Expired)
+    });
+    assert!(!started && refused, "{outputs:?}");
+}
+
 #[test]
 fn a_fast_failing_endpoint_attracts_no_traffic() {
     let mut path = path(2, 10);
@@ -408,7 +439,7 @@
     path.limit(2, 100);
     path.load(1000.0, 2_000 * MS, true, 1000);
     path.run_for(100 * MS);
-    let answered = path.latencies(pond_proto::Micros(0)).len();
+    let answered = path.latencies(Micros(0)).len();
     assert!((200..=215).contains(&answered), "{answered} in two seconds");
     let refused = path.told.values().filter(|told| told.finish.outcome() == Outcome::NotRun);
     assert!(refused.map(|told| told.at.since(told.asked)).all(|us| us == 0));
