--- a/crates/pond-platform/src/contract.rs
+++ b/crates/pond-platform/src/contract.rs
@@ -1,5 +1,9 @@
-//! The contract of workers as a table of cases that any implementation can be put through.
+//! The contracts of workers and endpoints as tables of cases that any implementation can be put
+//! through.
 
+use std::time::Duration;
+
+use pond_http::{Call, Client, HeaderValue, Method};
 use pond_proto::{Size, TaskKey};
 
 use crate::border::{Error, Platform};
@@ -215,3 +219,42 @@
         refused(self.platform.lease(self.worker, older).await, RefusalCode::OldTerm)
     }
 }
+
+/// The path that endpoints are tried at.
+const ENDPOINT_PATH: &str = "/v1/services/contract";
+
+/// How long an endpoint may take to answer one request of the table.
+const ENDPOINT_PATIENCE: Duration = Duration::from_secs(5);
+
+/// Tries the contract of endpoints on one address.
+pub async fn check_endpoint(address: &str) -> Vec<Verdict> {
+    let client = Client::new();
+    let table: [(&'static str, usize, bool); 5] = [
+        ("a request is answered whole", 10, false),
+        ("a kept connection serves another request", 10, false),
+        ("a request without a body is answered", 0, false),
+        ("a large body is taken", 1 << 20, false),
+        ("the headers of the contract are taken", 10, true),
+    ];
+    let mut verdicts = Vec::new();
+    for (rule, bytes, headers) in table {
+        let mut call = Call::new(Method::POST, ENDPOINT_PATH, vec![b'x'; bytes]);
+        if headers {
+            for (name, value) in [
+                ("content-type", "text/plain"),
+                ("idempotency-key", "key-1"),
+                ("pondbay-request", "00000000000000ff-1"),
+            ] {
+                call.headers.insert(name, HeaderValue::from_static(value));
+            }
+        }
+        let reply = client.call(address, call, ENDPOINT_PATIENCE).await;
+        let wrong = match reply {
+            Ok(reply) if reply.status.is_success() => None,
+            Ok(reply) => Some(format!("status {}", reply.status)),
+            Err(error) => Some(error.to_string()),
+        };
+        verdicts.push(Verdict { rule, wrong });
+    }
+    verdicts
+}
--- a/crates/pond-standin/tests/contract.rs
+++ b/crates/pond-standin/tests/contract.rs
@@ -1,11 +1,13 @@
 //! The stand-ins keep the contracts of the platform.
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use pond_http::Stop;
 use pond_platform::{HttpPlatform, Platform, contract};
 use pond_proto::{Presence, Size, Vm};
-use pond_standin::{Host, LaggingList, ListServer, Record, WorkerServer};
+use pond_standin::{Endpoint, Host, LaggingList, ListServer, Record, WorkerServer};
 use tokio::net::TcpListener;
 
 async fn worker() -> String {
@@ -26,6 +28,17 @@
     assert_eq!(verdicts.len(), 14);
 }
 
+#[tokio::test]
+async fn the_endpoint_keeps_every_rule() {
+    let (slowdown, stop) = (Arc::new(AtomicU64::new(100)), Stop::new());
+    let started = Endpoint::start(8, 64, 300, slowdown, Record::new(), stop);
+    let address = started.await.expect("starts").to_string();
+    let verdicts = contract::check_endpoint(&address).await;
+    let broken: Vec<_> = verdicts.iter().filter(|verdict| verdict.wrong.is_some()).collect();
+    assert!(broken.is_empty(), "{broken:#?}");
+    assert_eq!(verdicts.len(), 5);
+}
+
 #[tokio::test]
 async fn the_list_is_told_as_it_is_written_in_the_contract() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("listens");
