Move filling runs away from serving ones that they disturb, by pressures

Tails behave like those of a queue, idle/(1 - pressure), and pressures add up: the run's own load, which swings, and a part for each filling share. Change: pressures instead of tails, a load for each serving run, fading of what has just ended; the leader stops the filling runs that make a target be missed (they keep their save) and places them elsewhere. Tests in crates/pond-job/tests/harm.rs.

--- a/crates/pond-job/src/lead/candidate.rs
+++ b/crates/pond-job/src/lead/candidate.rs
@@ -7,8 +7,8 @@
 
 use crate::change::Start;
 
+use super::filler;
 use super::harm::{Filler, Harm, Served};
-use super::{filler, served};
 
 /// A serving task uses about this share of the processors that it asks for, in percent: it asks for
 /// its peak. Filling tasks get the rest.
@@ -25,6 +25,8 @@
     pub pool: String,
     /// Its labels.
     pub labels: BTreeSet<String>,
+    /// All its processors, in thousandths.
+    pub processors: u32,
     /// Its room that nothing takes.
     pub free: Size,
     /// Room that is kept for tasks that fit nowhere yet and come before those that are placed now.
@@ -52,21 +54,29 @@
     }
 
     /// Gives it a task.
-    pub fn take(&mut self, task: TaskName, step: &Step) {
+    pub fn take(&mut self, task: TaskName, step: &Step, served: Option<Served>) {
         self.free = minus(self.free, step.size());
         if !step.lasting {
             self.passing = self.passing.plus(step.size());
         }
         self.idle -= used(step);
-        self.served.extend(served(step));
-        self.served.dedup();
-        self.fillers.extend(filler(step));
+        self.serve(served);
+        self.fillers.extend(filler(step, self.processors));
         if !step.lasting {
             self.more = self.more.saturating_sub(1);
         }
         *self.steps.entry((task.job, task.time, task.step)).or_default() += 1;
     }
 
+    /// Adds a serving task, the highest load of each image counting.
+    fn serve(&mut self, served: Option<Served>) {
+        let Some(served) = served else { return };
+        match self.served.iter_mut().find(|there| there.image == served.image) {
+            Some(there) => there.load = there.load.max(served.load),
+            None => self.served.push(served),
+        }
+    }
+
     /// Whether a task may run there now.
     pub fn fits(&self, pool: &str, task: TaskName, step: &Step) -> bool {
         let idle = !step.fills || self.idle >= i64::from(step.milli_cpu);
@@ -97,17 +107,15 @@
     }
 
     /// Higher is better.
-    pub fn score(&self, step: &Step, harm: &Harm) -> (bool, i64, i64) {
+    pub fn score(&self, step: &Step, served: Option<&Served>, harm: &Harm) -> (bool, i64, i64) {
         let near = step.data_rack.is_empty() || self.labels.contains(&step.data_rack);
-        if step.serves() {
+        if let Some(served) = served {
             // Serving tasks stand together, away from what would disturb them.
-            let mut served = self.served.clone();
-            served.extend(self::served(step));
-            let disturbed = harm.expected(&served, &self.fillers);
+            let disturbed = harm.excess(std::slice::from_ref(served), &self.fillers).max(0.0);
             let calm = i64::from(!self.served.is_empty());
             return (near, calm - tenths(disturbed), -self.idle);
         }
-        if let Some(filler) = filler(step).filter(|_| !self.served.is_empty()) {
+        if let Some(filler) = filler(step, self.processors).filter(|_| !self.served.is_empty()) {
             let added = harm.added(&self.served, &filler);
             return (near, -hundredths(added), self.idle);
         }
@@ -117,7 +125,9 @@
 
     /// Whether the serving tasks here would keep their targets beside one more filling task.
     pub fn bears(&self, step: &Step, harm: &Harm) -> bool {
-        let Some(filler) = filler(step).filter(|_| !self.served.is_empty()) else { return true };
+        let Some(filler) = filler(step, self.processors).filter(|_| !self.served.is_empty()) else {
+            return true;
+        };
         harm.bearable(&self.served, &self.fillers, &filler)
     }
 }
--- a/crates/pond-job/src/lead/harm.rs
+++ b/crates/pond-job/src/lead/harm.rs
@@ -2,50 +2,58 @@
 
 use std::collections::BTreeMap;
 
+use pond_proto::Millis;
 use pond_proto::fleet::{Report, RunRow};
-use pond_proto::job::Step;
+use pond_proto::job::{RunName, Step};
 
+use super::load::Load;
+use super::pressure::{SATURATED, Scale};
 use super::regression::{Regression, Tuning};
 use crate::state::State;
 
-/// A placement is avoided if the tail of a serving task is expected above this share of its target.
-/// The load of serving tasks swings by half, so there must be room.
-const BEARABLE: f64 = 0.75;
+/// Filling work is placed only where pressures are expected to stay this far below those at which
+/// targets are missed: loads go up by some hundredths within the second until the next figure.
+const MARGIN: f64 = 0.05;
 
-/// A filling task that adds less than this share of the target is not held back, however long the
-/// tail is through others.
-const SLIGHT: f64 = 0.04;
+/// A filling task that adds less than this to a pressure is not held back, however high it is
+/// through others.
+const SLIGHT: f64 = 0.02;
 
-/// Tails are measured with this share of themselves as noise, and a little more.
-const NOISE_SHARE: f64 = 0.25;
+/// A filling run that has ended shows in the figures for a while: with each new figure, half of it.
+const FADING: f64 = 0.5;
 
-/// Noise of a tail besides its share, in milliseconds: figures are whole milliseconds.
-const NOISE_MS: f64 = 1.0;
-
-/// Tails in milliseconds over processors in use. A filling task of some processors may add some
-/// ten milliseconds to a tail of some milliseconds; amounts change within seconds, and about two
-/// reports a second come from each worker.
-const TUNING: Tuning = Tuning {
-    constant: 5.0,
-    constant_variance: 25.0,
-    constant_growth: 0.2,
-    variance: 25.0,
-    growth: 0.005,
-};
+/// Pressures over shares of the worker's processors. About half of all pairs of images do not harm
+/// each other, others press with some times their share; amounts change within seconds, and about
+/// two reports a second come from each worker.
+const TUNING: Tuning = Tuning { mean: 0.8, variance: 2.5, growth: 0.002 };
 
 /// What is learned, by the image of the serving tasks.
 #[derive(Debug, Default)]
 pub struct Harm {
-    models: BTreeMap<String, Regression>,
+    models: BTreeMap<String, Model>,
+    /// Loads of serving runs.
+    loads: BTreeMap<RunName, Load>,
+    /// Shares of processors that filling images used lately, by the life of the worker.
+    used: BTreeMap<String, BTreeMap<String, f64>>,
+}
+
+/// What is known of the serving tasks of an image.
+#[derive(Debug)]
+struct Model {
+    scale: Scale,
+    /// What filling images add to the pressure, over shares of the worker's processors.
+    added: Regression,
 }
 
-/// A serving task on a worker, or more of the same image.
+/// Serving tasks of one image on a worker.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Served {
-    /// Its image.
+    /// Their image.
     pub image: String,
-    /// Its target, in milliseconds.
+    /// Their target, in milliseconds.
     pub target_ms: u32,
+    /// The highest load among them, as a pressure.
+    pub load: f64,
 }
 
 /// A filling task on a worker.
@@ -53,57 +61,102 @@
 pub struct Filler {
     /// Its image.
     pub image: String,
-    /// Thousandths of a processor that it uses.
-    pub milli_cpu: u32,
+    /// The share of the worker's processors that it uses at full pace.
+    pub share: f64,
 }
 
 impl Harm {
     /// Learns from the figures of a report.
-    pub fn learn(&mut self, state: &State, report: &Report) {
-        let mut tails: BTreeMap<&str, Vec<u32>> = BTreeMap::new();
-        let mut amounts: BTreeMap<String, f64> = BTreeMap::new();
+    pub fn learn(&mut self, state: &State, now: Millis, report: &Report) {
+        let used = self.used_lately(state, report);
         for row in &report.runs {
             let Some(step) = step_of(state, row) else { continue };
             if step.serves() && row.percent == 100 && row.figure > 0 {
-                tails.entry(&step.image).or_default().push(row.figure);
+                self.learn_one(now, step, row, &used);
             }
-            if step.fills && row.figure > 0 {
-                *amounts.entry(step.image.clone()).or_default() += processors(row.figure);
+        }
+        self.used.insert(report.worker.clone(), used);
+    }
+
+    /// The shares of processors that filling images use, those that have just ended fading.
+    fn used_lately(&self, state: &State, report: &Report) -> BTreeMap<String, f64> {
+        let mut used: BTreeMap<String, f64> = BTreeMap::new();
+        for row in report.runs.iter().filter(|row| row.figure > 0) {
+            let Some(step) = step_of(state, row).filter(|step| step.fills) else { continue };
+            *used.entry(step.image.clone()).or_default() += share(row.figure, report.milli_cpu);
+        }
+        for (image, before) in self.used.get(&report.worker).into_iter().flatten() {
+            let faded = before * FADING;
+            if faded >= share(1, report.milli_cpu) {
+                let now = used.entry(image.clone()).or_default();
+                *now = now.max(faded);
             }
         }
-        for (image, mut figures) in tails {
-            figures.sort_unstable();
-            // One figure for all tasks of an image, as they are disturbed alike.
-            let middle = f64::from(figures[figures.len() / 2]);
-            let noise = NOISE_SHARE * middle + NOISE_MS;
-            self.model(image).learn(&amounts, middle, noise * noise);
+        used
+    }
+
+    fn learn_one(&mut self, now: Millis, step: &Step, row: &RunRow, used: &BTreeMap<String, f64>) {
+        let new =
+            || Model { scale: Scale::new(step.tail_target_ms), added: Regression::new(TUNING) };
+        let model = self.models.entry(step.image.clone()).or_insert_with(new);
+        model.scale.learn(row.figure);
+        let load = self.loads.entry(row.run).or_insert_with(|| Load::new(now));
+        let (mean, variance) = load.at(now);
+        let measured = model.scale.pressure(row.figure);
+        let expected: f64 = mean
+            + used.iter().map(|(image, share)| model.added.coefficient(image) * share).sum::<f64>();
+        if measured >= SATURATED && expected >= SATURATED {
+            return;
         }
+        let noise = variance + model.scale.noise(row.figure);
+        let surprise = model.added.learn(used, measured - mean, noise);
+        load.learn(now, surprise.error, surprise.variance);
     }
 
-    fn model(&mut self, image: &str) -> &mut Regression {
-        self.models.entry(image.to_owned()).or_insert_with(|| Regression::new(TUNING))
+    /// Drops what is known of runs that are over.
+    pub fn forget(&mut self, runs: impl Fn(RunName) -> bool, lives: impl Fn(&str) -> bool) {
+        self.loads.retain(|run, _| runs(*run));
+        self.used.retain(|life, _| lives(life));
     }
 
-    /// The highest expected tail of serving tasks beside filling ones, as a share of its target.
-    pub fn expected(&self, served: &[Served], fillers: &[Filler]) -> f64 {
-        let share = |served: &Served| {
-            let Some(model) = self.models.get(&served.image) else { return 0.0 };
+    /// A serving run as it is expected to be now; none for other runs.
+    pub fn served(&self, now: Millis, run: RunName, step: &Step) -> Option<Served> {
+        let load = self.loads.get(&run).copied().unwrap_or(Load::new(now));
+        served(step, load.at(now).0)
+    }
+
+    /// A serving task that runs nowhere yet; none for other tasks.
+    pub fn newly_served(&self, now: Millis, step: &Step) -> Option<Served> {
+        served(step, Load::new(now).at(now).0)
+    }
+
+    /// By how much the pressure on serving tasks is expected to exceed what their targets allow, the
+    /// worst of them; negative while they keep their targets.
+    pub fn excess(&self, served: &[Served], fillers: &[Filler]) -> f64 {
+        let excess = |served: &Served| {
             let added =
-                |filler: &Filler| model.coefficient(&filler.image) * processors(filler.milli_cpu);
-            let tail: f64 = model.constant() + fillers.iter().map(added).sum::<f64>();
-            tail / f64::from(served.target_ms.max(1))
+                |filler: &Filler| self.coefficient(&served.image, &filler.image) * filler.share;
+            let pressure = served.load + fillers.iter().map(added).sum::<f64>();
+            pressure - self.allowed(served)
         };
-        served.iter().map(share).fold(0.0, f64::max)
+        served.iter().map(excess).fold(f64::NEG_INFINITY, f64::max)
+    }
+
+    /// The pressure at which a target is just kept.
+    fn allowed(&self, served: &Served) -> f64 {
+        let scale = self.models.get(&served.image).map(|model| model.scale);
+        scale.unwrap_or(Scale::new(served.target_ms)).pressure(served.target_ms)
     }
 
-    /// How much one filling task adds to the tails of serving ones, as a share of the target.
+    fn coefficient(&self, served: &str, filler: &str) -> f64 {
+        let model = self.models.get(served);
+        model.map_or(TUNING.mean, |model| model.added.coefficient(filler))
+    }
+
+    /// How much one filling task adds to the pressure on serving ones, the worst of them.
     pub fn added(&self, served: &[Served], filler: &Filler) -> f64 {
-        let share = |served: &Served| {
-            let model = self.models.get(&served.image);
-            let slope = model.map_or(0.0, |model| model.coefficient(&filler.image));
-            slope * processors(filler.milli_cpu) / f64::from(served.target_ms.max(1))
-        };
-        served.iter().map(share).fold(0.0, f64::max)
+        let added = |served: &Served| self.coefficient(&served.image, &filler.image) * filler.share;
+        served.iter().map(added).fold(0.0, f64::max)
     }
 
     /// Whether serving tasks bear one more filling task beside those that are there.
@@ -113,12 +166,41 @@
         }
         let mut all = fillers.to_vec();
         all.push(more.clone());
-        self.expected(served, &all) <= BEARABLE
+        self.excess(served, &all) <= -MARGIN
     }
+
+    /// Which filling tasks must go so that the serving ones keep their targets, none if they do; the
+    /// most harmful first, and no more than needed.
+    pub fn guilty(&self, served: &[Served], fillers: &[Filler]) -> Vec<usize> {
+        let mut left: Vec<usize> = (0..fillers.len()).collect();
+        let mut guilty = Vec::new();
+        let mut bound = 0.0;
+        loop {
+            let there: Vec<Filler> = left.iter().map(|i| fillers[*i].clone()).collect();
+            if served.is_empty() || self.excess(served, &there) <= bound {
+                return guilty;
+            }
+            // Once some must go, those that stay should be as calm as after a placement.
+            bound = -MARGIN;
+            let added = |i: &usize| self.added(served, &fillers[*i]);
+            let worst =
+                (0..left.len()).max_by(|a, b| added(&left[*a]).total_cmp(&added(&left[*b])));
+            let Some(worst) = worst.filter(|worst| added(&left[*worst]) > SLIGHT) else {
+                return guilty;
+            };
+            guilty.push(left.remove(worst));
+        }
+    }
+}
+
+fn served(step: &Step, load: f64) -> Option<Served> {
+    let (image, target_ms) = (step.image.clone(), step.tail_target_ms);
+    step.serves().then_some(Served { image, target_ms, load })
 }
 
-fn processors(milli_cpu: u32) -> f64 {
-    f64::from(milli_cpu) / 1_000.0
+/// The share of a worker's processors that so many thousandths of one are.
+pub(super) fn share(milli_cpu: u32, of: u32) -> f64 {
+    f64::from(milli_cpu) / f64::from(of.max(1))
 }
 
 fn step_of<'a>(state: &'a State, row: &RunRow) -> Option<&'a Step> {
--- a/crates/pond-job/src/lead/mod.rs
+++ b/crates/pond-job/src/lead/mod.rs
@@ -7,11 +7,14 @@
 
 mod candidate;
 mod ends;
+mod evict;
 mod harm;
 mod health;
+mod load;
 mod order;
 mod output;
 mod plan;
+mod pressure;
 mod progress;
 mod regression;
 mod worker;
@@ -27,7 +30,7 @@
 
 use harm::Harm;
 use health::Health;
-use order::{filler, served};
+use order::filler;
 use worker::Worker;
 
 pub use output::{Decision, Output, Terms};
@@ -110,7 +113,8 @@
         let worker = self.workers.entry(life.clone()).or_insert_with(|| Worker::new(agent));
         let figures = worker.take(now, link, &report);
         if figures {
-            self.harm.learn(state, &report);
+            self.harm.learn(state, now, &report);
+            self.evict(state, now, &life, &report);
         }
         self.propose_ends(state, now, &life, &report);
         self.watch_progress(state, now, &life, &report);
@@ -201,6 +205,8 @@
             self.ended = state.ended().map(|id| (id, now)).collect();
         }
         let keep = self.terms.keep_ms;
+        let known = |run: RunName| state.job(run.task.job).is_some_and(|job| !job.phase.ended());
+        self.harm.forget(known, |life| self.workers.contains_key(life));
         let old: Vec<u64> =
             self.ended.iter().filter(|(_, at)| now.since(**at) > keep).map(|(id, _)| *id).collect();
         if old.is_empty() {
--- a/crates/pond-job/src/lead/order.rs
+++ b/crates/pond-job/src/lead/order.rs
@@ -6,7 +6,7 @@
 use pond_proto::fleet::{Order, StartOrder, Watch};
 use pond_proto::job::{RunName, Step};
 
-use super::harm::{Filler, Served};
+use super::harm::{Filler, Served, share};
 use super::worker::Worker;
 use super::{Leader, Output};
 use crate::state::State;
@@ -47,15 +47,17 @@
     }
 
     /// How the agent should watch each run of its worker.
-    fn watches(&self, state: &State, life: &str) -> Vec<Watch> {
+    fn watches(&self, state: &State, now: Millis, life: &str) -> Vec<Watch> {
         let steps: Vec<(RunName, &Step)> = state
             .placed(life)
             .filter_map(|run| Some((run, state.job(run.task.job)?.step(run.task)?)))
             .collect();
-        let served: Vec<Served> = steps.iter().filter_map(|(_, step)| served(step)).collect();
+        let room = self.workers.get(life).map_or(0, |worker| worker.room.milli_cpu);
+        let served: Vec<Served> =
+            steps.iter().filter_map(|(run, step)| self.harm.served(now, *run, step)).collect();
         let mut watches = Vec::new();
         for (run, step) in steps {
-            let blame = filler(step).map_or(0.0, |filler| self.harm.added(&served, &filler));
+            let blame = filler(step, room).map_or(0.0, |filler| self.harm.added(&served, &filler));
             watches.push(Watch {
                 run,
                 tail_target_ms: step.tail_target_ms,
@@ -71,7 +73,7 @@
     fn order(&mut self, state: &State, now: Millis, life: &str) -> Option<(u64, Order)> {
         let wanted: BTreeMap<RunName, bool> =
             state.placed(life).map(|run| (run, self.wanted(state, run))).collect();
-        let watches = self.watches(state, life);
+        let watches = self.watches(state, now, life);
         let worker = self.workers.get_mut(life)?;
         let link = worker.link?;
         let order = Order {
@@ -136,16 +138,11 @@
     watches
 }
 
-/// A serving task as the harm model knows it; none for other tasks.
-pub(super) fn served(step: &Step) -> Option<Served> {
-    let (image, target_ms) = (step.image.clone(), step.tail_target_ms);
-    step.serves().then_some(Served { image, target_ms })
-}
-
-/// A filling task as the harm model knows it; none for other tasks.
-pub(super) fn filler(step: &Step) -> Option<Filler> {
-    let (image, milli_cpu) = (step.image.clone(), step.milli_cpu);
-    step.fills.then_some(Filler { image, milli_cpu })
+/// A filling task as the harm model knows it, none for other tasks,
+/// on a worker with so many thousandths of processors.
+pub(super) fn filler(step: &Step, room: u32) -> Option<Filler> {
+    let (image, share) = (step.image.clone(), share(step.milli_cpu, room));
+    step.fills.then_some(Filler { image, share })
 }
 
 /// Whether an agent should be told anew how to watch a run.
--- a/crates/pond-job/src/lead/output.rs
+++ b/crates/pond-job/src/lead/output.rs
@@ -66,6 +66,17 @@
         /// Its worker.
         worker: String,
     },
+    /// A filling run disturbs the serving ones beside it and is stopped, to run elsewhere.
+    Moved {
+        /// The run.
+        run: RunName,
+        /// Its worker.
+        worker: String,
+        /// By how much the pressure there exceeds what the targets allow, in thousandths.
+        excess_permille: u32,
+        /// What the run is expected to add to it, in thousandths.
+        added_permille: u32,
+    },
     /// A worker gets nothing for a while.
     Sick {
         /// Its life.
@@ -82,6 +93,7 @@
             Decision::WorkerUp { .. } => "worker_up",
             Decision::WorkerLost { .. } => "worker_lost",
             Decision::Stalled { .. } => "stalled",
+            Decision::Moved { .. } => "moved",
             Decision::Sick { .. } => "sick",
         }
     }
--- a/crates/pond-job/src/lead/plan.rs
+++ b/crates/pond-job/src/lead/plan.rs
@@ -6,6 +6,7 @@
 use pond_proto::{Millis, Size, Span};
 
 use super::candidate::Candidate;
+use super::harm::{Harm, Served};
 use super::{Leader, Output, PROPOSE_AGAIN_MS};
 use crate::change::{Change, Start};
 use crate::job::Job;
@@ -26,6 +27,8 @@
     time: usize,
     step: usize,
     job: &'a Job,
+    /// The task to place as a serving one; none for other tasks.
+    served: Option<Served>,
 }
 
 impl Leader {
@@ -34,7 +37,7 @@
         if self.starting.is_some_and(|at| now.since(at) < PROPOSE_AGAIN_MS) {
             return;
         }
-        let ready = ready(state, wall);
+        let ready = ready(state, now, wall, &self.harm);
         if ready.is_empty() {
             return;
         }
@@ -73,6 +76,7 @@
                 agent: worker.agent.clone(),
                 pool: worker.pool.clone(),
                 labels: worker.labels.clone(),
+                processors: worker.room.milli_cpu,
                 free: worker.room,
                 kept: Size::default(),
                 passing: Size::default(),
@@ -86,7 +90,7 @@
             for run in runs {
                 let step = state.job(run.task.job).and_then(|job| job.step(run.task));
                 if let Some(step) = step {
-                    candidate.take(run.task, step);
+                    candidate.take(run.task, step, self.harm.served(now, run, step));
                 }
             }
             candidate.more = more;
@@ -112,7 +116,7 @@
                 keep_room(group, step, index, candidates);
                 break;
             };
-            candidates[found].take(name, step);
+            candidates[found].take(name, step, group.served.clone());
             let run = RunName { task: name, number: task.run + 1 };
             starts.push(candidates[found].start(run));
         }
@@ -136,7 +140,7 @@
         for index in 0..tasks.len() {
             let name = group.task(index);
             let Some(found) = self.best(group, name, step, &after) else { return };
-            after[found].take(name, step);
+            after[found].take(name, step, group.served.clone());
             let run = RunName { task: name, number };
             placed.push(after[found].start(run));
         }
@@ -162,7 +166,7 @@
             let avoided = self.avoided.get(&task);
             let avoided = avoided.is_some_and(|avoided| avoided.contains(&candidate.life));
             let sound = candidate.more > 0;
-            let key = (!avoided, sound, candidate.score(step, &self.harm));
+            let key = (!avoided, sound, candidate.score(step, group.served.as_ref(), &self.harm));
             if best.as_ref().is_none_or(|(other, _)| key > *other) {
                 best = Some((key, i));
             }
@@ -204,7 +208,7 @@
 }
 
 /// The groups of tasks whose turn has come and of which some are not placed, most urgent first.
-fn ready(state: &State, wall: Millis) -> Vec<Ready<'_>> {
+fn ready<'a>(state: &'a State, now: Millis, wall: Millis, harm: &Harm) -> Vec<Ready<'a>> {
     let mut ready = Vec::new();
     for (id, job) in state.active().filter(|(_, job)| !job.phase.ended()) {
         for (time, steps) in job.times.iter().enumerate() {
@@ -215,7 +219,10 @@
                 let waits = tasks.iter().any(|task| !task.done && task.worker.is_none());
                 if waits && job.turn(time, step) {
                     let aim = if time == 0 { job.aim } else { job.due(time) };
-                    ready.push(Ready { priority: job.priority, aim, id, time, step, job });
+                    let served =
+                        job.spec.steps.get(step).and_then(|step| harm.newly_served(now, step));
+                    let priority = job.priority;
+                    ready.push(Ready { priority, aim, id, time, step, job, served });
                 }
             }
         }
--- a/crates/pond-job/src/lead/regression.rs
+++ b/crates/pond-job/src/lead/regression.rs
@@ -5,10 +5,10 @@
 
 use std::collections::BTreeMap;
 
-/// A model of a measurement as a constant plus a sum of coefficients times amounts.
+/// A model of a measurement as a sum of coefficients times amounts.
 #[derive(Clone, Debug)]
 pub struct Regression {
-    /// Place of each term; the constant's is zero.
+    /// Place of each term.
     places: BTreeMap<String, usize>,
     means: Vec<f64>,
     /// Covariances of the coefficients, row by row.
@@ -19,37 +19,32 @@
 /// What is assumed before anything is measured, and how fast it may change.
 #[derive(Clone, Copy, Debug)]
 pub struct Tuning {
-    /// First mean of the constant.
-    pub constant: f64,
-    /// First variance of the constant.
-    pub constant_variance: f64,
-    /// Growth of the constant's variance with each measurement.
-    pub constant_growth: f64,
-    /// First variance of a coefficient; its first mean is zero.
+    /// First mean of a coefficient.
+    pub mean: f64,
+    /// First variance of a coefficient.
     pub variance: f64,
     /// Growth of a coefficient's variance with each measurement.
     pub growth: f64,
 }
 
+/// How a measurement compares with what was expected.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Surprise {
+    /// Measured less expected.
+    pub error: f64,
+    /// The variance of that difference, noise included.
+    pub variance: f64,
+}
+
 impl Regression {
     /// Nothing measured yet.
     pub fn new(tuning: Tuning) -> Regression {
-        Regression {
-            places: BTreeMap::new(),
-            means: vec![tuning.constant],
-            spread: vec![vec![tuning.constant_variance]],
-            tuning,
-        }
+        Regression { places: BTreeMap::new(), means: Vec::new(), spread: Vec::new(), tuning }
     }
 
-    /// The constant.
-    pub fn constant(&self) -> f64 {
-        self.means[0]
-    }
-
-    /// The coefficient of a term; zero if it was never measured.
+    /// The coefficient of a term.
     pub fn coefficient(&self, term: &str) -> f64 {
-        self.places.get(term).map_or(0.0, |place| self.means[*place])
+        self.places.get(term).map_or(self.tuning.mean, |place| self.means[*place])
     }
 
     fn place(&mut self, term: &str) -> usize {
@@ -58,7 +53,7 @@
         }
         let place = self.means.len();
         self.places.insert(term.to_owned(), place);
-        self.means.push(0.0);
+        self.means.push(self.tuning.mean);
         for row in &mut self.spread {
             row.push(0.0);
         }
@@ -69,11 +64,14 @@
     }
 
     /// Takes in a measurement with the variance of its noise.
-    pub fn learn(&mut self, amounts: &BTreeMap<String, f64>, measured: f64, noise: f64) {
-        let mut inputs: Vec<(usize, f64)> = vec![(0, 1.0)];
-        for (term, amount) in amounts {
-            inputs.push((self.place(term), *amount));
-        }
+    pub fn learn(
+        &mut self,
+        amounts: &BTreeMap<String, f64>,
+        measured: f64,
+        noise: f64,
+    ) -> Surprise {
+        let inputs: Vec<(usize, f64)> =
+            amounts.iter().map(|(term, amount)| (self.place(term), *amount)).collect();
         self.grow();
         let expected: f64 = inputs.iter().map(|(place, amount)| self.means[*place] * amount).sum();
         // Covariance of each coefficient with the measurement.
@@ -87,22 +85,19 @@
         let error = measured - expected;
         for (i, covariance) in shared.iter().enumerate() {
             let gain = covariance / variance;
-            // Neither a tail nor harm is negative.
+            // No filling run makes a serving one faster.
             self.means[i] = (self.means[i] + gain * error).max(0.0);
             for (j, other) in shared.iter().enumerate() {
                 self.spread[i][j] -= gain * other;
             }
         }
+        Surprise { error, variance }
     }
 
     fn grow(&mut self) {
         for (i, row) in self.spread.iter_mut().enumerate() {
-            let (growth, most) = match i {
-                0 => (self.tuning.constant_growth, self.tuning.constant_variance),
-                _ => (self.tuning.growth, self.tuning.variance),
-            };
-            if row[i] < most {
-                row[i] += growth;
+            if row[i] < self.tuning.variance {
+                row[i] += self.tuning.growth;
             }
         }
     }
--- /dev/null
+++ b/crates/pond-job/tests/harm.rs
@@ -0,0 +1,114 @@
+//! Filling work beside serving work: who is moved, who may stay.
+
+mod support;
+
+use pond_job::Decision;
+use pond_proto::job::{RunName, Step};
+use support::{Bench, step};
+
+/// Serving work that should answer within 18 ms.
+fn serving() -> Step {
+    let image = "till".to_owned();
+    Step { lasting: true, image, tail_target_ms: 18, ..step(1, 8_000) }
+}
+
+/// Filling work of an image that asks for a tenth of a worker.
+fn filling(image: &str) -> Step {
+    Step { fills: true, image: image.to_owned(), ..step(1, 3_200) }
+}
+
+/// A worker with a serving run of job 1 at work, and filling runs of jobs 2 and on.
+fn beside(images: &[&str]) -> Bench {
+    let mut bench = Bench::new().with_vm("a", 32_000);
+    bench.submit(1, vec![serving()]);
+    bench.settle();
+    bench.obey("a");
+    show(&mut bench, "a", &[(1, 6)]);
+    for (i, image) in images.iter().enumerate() {
+        bench.submit_batch(i as u64 + 2, vec![filling(image)]);
+        bench.settle();
+    }
+    bench.obey("a");
+    bench
+}
+
+/// Half a second passes, and a worker reports these figures of the runs of jobs.
+fn show(bench: &mut Bench, life: &str, figures: &[(u64, u32)]) {
+    bench.now = bench.now + 500;
+    let vm = bench.vms.get_mut(life).unwrap();
+    vm.clock_ms += 500;
+    for (run, row) in &mut vm.runs {
+        row.percent = if run.task.job == 1 { 100 } else { 50 };
+        let figure = figures.iter().find(|(job, _)| *job == run.task.job);
+        row.figure = figure.map_or(0, |(_, figure)| *figure);
+    }
+    bench.report(life);
+    bench.settle();
+}
+
+/// The run of job 2 gets going and disturbs that of job 1.
+fn disturb(bench: &mut Bench) {
+    show(bench, "a", &[(1, 9), (2, 1_600)]);
+    show(bench, "a", &[(1, 60), (2, 3_200)]);
+}
+
+fn moved(bench: &Bench) -> Vec<u64> {
+    let job = |decision: &Decision| match decision {
+        Decision::Moved { run, .. } => Some(run.task.job),
+        _ => None,
+    };
+    bench.decided.iter().filter_map(job).collect()
+}
+
+#[test]
+fn filling_run_that_disturbs_is_stopped() {
+    let mut bench = beside(&["loud"]);
+    disturb(&mut bench);
+    assert_eq!(moved(&bench), [2]);
+    let jobs: Vec<u64> = bench.stopped("a").iter().map(|run: &RunName| run.task.job).collect();
+    assert_eq!(jobs, [2]);
+}
+
+#[test]
+fn filling_run_that_disturbs_nobody_stays() {
+    let mut bench = beside(&["still"]);
+    for tail in [6, 7, 8, 9, 10, 11, 10, 9, 8, 7, 6, 6] {
+        show(&mut bench, "a", &[(1, tail), (2, 3_200)]);
+    }
+    assert!(moved(&bench).is_empty());
+}
+
+#[test]
+fn guilty_image_is_told_from_a_harmless_one() {
+    let mut bench = beside(&["still"]);
+    for _ in 0..8 {
+        show(&mut bench, "a", &[(1, 6), (2, 3_200)]);
+    }
+    bench.submit_batch(3, vec![filling("loud")]);
+    bench.settle();
+    bench.obey("a");
+    show(&mut bench, "a", &[(1, 80), (2, 3_200), (3, 3_200)]);
+    assert_eq!(moved(&bench), [3]);
+}
+
+#[test]
+fn run_that_was_moved_goes_where_it_disturbs_nobody() {
+    let mut bench = beside(&["loud"]);
+    disturb(&mut bench);
+    let run = bench.stopped("a")[0];
+    bench.add_vm("b", 32_000);
+    bench.end("a", run, pond_proto::job::How::Stopped);
+    assert_eq!(bench.place_of(run.task).as_deref(), Some("b"));
+}
+
+#[test]
+fn image_known_to_disturb_is_not_placed_there_again() {
+    let mut bench = beside(&["loud"]);
+    disturb(&mut bench);
+    let run = bench.stopped("a")[0];
+    bench.end("a", run, pond_proto::job::How::Stopped);
+    show(&mut bench, "a", &[(1, 6)]);
+    bench.submit_batch(9, vec![filling("loud")]);
+    bench.settle();
+    assert_eq!(bench.place_of(support::task(9, 0, 0)), None);
+}
--- a/crates/pond-log/src/events.rs
+++ b/crates/pond-log/src/events.rs
@@ -146,6 +146,7 @@
         "look at the worker if it goes on";
     WORKER_REGISTERED = 615, Info, "a worker registered or changed", "nothing";
     RUN_PACED = 616, Info, "a filling run was slowed down or sped up", "nothing";
+    RUN_MOVED = 617, Info, "a filling run disturbs serving ones and is moved", "nothing";
 }
 
 /// The catalogue as the page `docs/EVENTS.md`.
--- a/crates/pond-replica/src/audit.rs
+++ b/crates/pond-replica/src/audit.rs
@@ -19,6 +19,10 @@
             Decision::Stalled { run, worker } => {
                 event!(self.log, RUN_STALLED, "run" => run.to_string(), "worker" => worker);
             }
+            Decision::Moved { run, worker, excess_permille, added_permille } => {
+                event!(self.log, RUN_MOVED, "run" => run.to_string(), "worker" => worker,
+                    "excess_permille" => excess_permille, "added_permille" => added_permille);
+            }
             Decision::Sick { worker, for_ms } => {
                 event!(self.log, WORKER_SICK, "worker" => worker, "for_ms" => for_ms);
             }
