Place what can still be in time first, and finish what is begun

Change: groups go by priority, by what can still be gained (in time, late, worthless), by the part of the work left, by aim. An aim of a repeated job counts from when its time falls due.

--- a/crates/pond-job/src/job.rs
+++ b/crates/pond-job/src/job.rs
@@ -87,12 +87,13 @@
     }
 }
 
-/// The longest chain of estimates through the steps, in milliseconds.
-pub fn longest_chain(steps: &[Step]) -> u64 {
+/// The longest chain of estimates through the steps that count, in milliseconds.
+pub fn longest_chain(steps: &[Step], counts: impl Fn(usize) -> bool) -> u64 {
     let mut ends: Vec<u64> = Vec::with_capacity(steps.len());
-    for step in steps {
+    for (i, step) in steps.iter().enumerate() {
         let before = step.after.iter().filter_map(|i| ends.get(*i as usize)).max();
-        ends.push(before.copied().unwrap_or(0).saturating_add(step.estimate_ms));
+        let own = if counts(i) { step.estimate_ms } else { 0 };
+        ends.push(before.copied().unwrap_or(0).saturating_add(own));
     }
     ends.into_iter().max().unwrap_or(0)
 }
--- a/crates/pond-job/src/lead/mod.rs
+++ b/crates/pond-job/src/lead/mod.rs
@@ -16,6 +16,7 @@
 mod plan;
 mod pressure;
 mod progress;
+mod ready;
 mod regression;
 mod worker;
 
--- a/crates/pond-job/src/lead/plan.rs
+++ b/crates/pond-job/src/lead/plan.rs
@@ -6,10 +6,9 @@
 use pond_proto::{Millis, Size, Span};
 
 use super::candidate::Candidate;
-use super::harm::{Harm, Served};
+use super::ready::{Ready, ready};
 use super::{Leader, Output, PROPOSE_AGAIN_MS};
 use crate::change::{Change, Start};
-use crate::job::Job;
 use crate::state::State;
 
 /// Starts in one proposal, so that an entry of the log stays small.
@@ -19,18 +18,6 @@
 /// second.
 const FRESH_MS: Span = 2_500;
 
-/// A group of tasks whose turn has come.
-struct Ready<'a> {
-    priority: u32,
-    aim: Millis,
-    id: u64,
-    time: usize,
-    step: usize,
-    job: &'a Job,
-    /// The task to place as a serving one; none for other tasks.
-    served: Option<Served>,
-}
-
 impl Leader {
     /// Proposes starts for tasks whose turn has come, most urgent first.
     pub(super) fn plan(&mut self, state: &State, now: Millis, wall: Millis) {
@@ -175,17 +162,6 @@
     }
 }
 
-impl Ready<'_> {
-    fn task(&self, index: usize) -> TaskName {
-        TaskName {
-            job: self.id,
-            time: self.time as u32,
-            step: self.step as u32,
-            index: index as u32,
-        }
-    }
-}
-
 /// Keeps room for the tasks of a step from `first` on. Only lasting tasks are worth idle room:
 /// others find some sooner or later, and room that waits is lost.
 fn keep_room(group: &Ready<'_>, step: &Step, first: usize, candidates: &mut [Candidate]) {
@@ -206,27 +182,3 @@
         best.keep(name, step);
     }
 }
-
-/// The groups of tasks whose turn has come and of which some are not placed, most urgent first.
-fn ready<'a>(state: &'a State, now: Millis, wall: Millis, harm: &Harm) -> Vec<Ready<'a>> {
-    let mut ready = Vec::new();
-    for (id, job) in state.active().filter(|(_, job)| !job.phase.ended()) {
-        for (time, steps) in job.times.iter().enumerate() {
-            if job.spec.repeat.is_some() && wall < job.due(time) {
-                continue;
-            }
-            for (step, tasks) in steps.iter().enumerate() {
-                let waits = tasks.iter().any(|task| !task.done && task.worker.is_none());
-                if waits && job.turn(time, step) {
-                    let aim = if time == 0 { job.aim } else { job.due(time) };
-                    let served =
-                        job.spec.steps.get(step).and_then(|step| harm.newly_served(now, step));
-                    let priority = job.priority;
-                    ready.push(Ready { priority, aim, id, time, step, job, served });
-                }
-            }
-        }
-    }
-    ready.sort_by_key(|group| (group.priority, group.aim, group.id, group.time, group.step));
-    ready
-}
--- /dev/null
+++ b/crates/pond-job/src/lead/ready.rs
@@ -0,0 +1,125 @@
+//! The groups of tasks that wait for a place, in the order in which they get one.
+
+use pond_proto::Millis;
+use pond_proto::job::TaskName;
+
+use super::harm::{Harm, Served};
+use crate::job::{Job, Task, longest_chain};
+use crate::state::State;
+
+/// A job that ends later than this many times its span after it fell due is worth nothing any more.
+const WORTHLESS_SPANS: u64 = 3;
+
+/// A group of tasks whose turn has come.
+pub(super) struct Ready<'a> {
+    /// What goes first.
+    pub urgency: Urgency,
+    /// The job's id.
+    pub id: u64,
+    /// Which of the job's times, from zero.
+    pub time: usize,
+    /// Which of its steps, from zero.
+    pub step: usize,
+    /// The job.
+    pub job: &'a Job,
+    /// One of its tasks as a serving one; none for other tasks.
+    pub served: Option<Served>,
+}
+
+/// Orders groups: lower goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Urgency {
+    /// The priority of the queue.
+    priority: u32,
+    /// What can still be gained by it.
+    hope: Hope,
+    /// The part of its work that is left, in tenths: what is begun is finished first, so that
+    /// under overload some jobs are done in time instead of all a little late.
+    left_tenths: u64,
+    /// When it should be done.
+    aim: Millis,
+}
+
+/// What can still be gained by work on a job. Under overload, work for a job that is late already
+/// makes the next one late, too.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Hope {
+    /// It can be done in time.
+    InTime,
+    /// It can be done, but late.
+    Late,
+    /// It is too late for all but the record.
+    Worthless,
+}
+
+impl Ready<'_> {
+    /// The name of a task of the group.
+    pub fn task(&self, index: usize) -> TaskName {
+        TaskName {
+            job: self.id,
+            time: self.time as u32,
+            step: self.step as u32,
+            index: index as u32,
+        }
+    }
+}
+
+/// The groups of tasks whose turn has come and of which some are not placed, most urgent first.
+pub(super) fn ready<'a>(
+    state: &'a State,
+    now: Millis,
+    wall: Millis,
+    harm: &Harm,
+) -> Vec<Ready<'a>> {
+    let mut ready = Vec::new();
+    for (id, job) in state.active().filter(|(_, job)| !job.phase.ended()) {
+        for (time, steps) in job.times.iter().enumerate() {
+            if job.spec.repeat.is_some() && wall < job.due(time) {
+                continue;
+            }
+            for (step, tasks) in steps.iter().enumerate() {
+                let waits = tasks.iter().any(|task| !task.done && task.worker.is_none());
+                if waits && job.turn(time, step) {
+                    let urgency = urgency(job, time, wall);
+                    let served =
+                        job.spec.steps.get(step).and_then(|step| harm.newly_served(now, step));
+                    ready.push(Ready { urgency, id, time, step, job, served });
+                }
+            }
+        }
+    }
+    ready.sort_by_key(|group| (group.urgency, group.id, group.time, group.step));
+    ready
+}
+
+fn urgency(job: &Job, time: usize, wall: Millis) -> Urgency {
+    let due = job.due(time);
+    let span = job.aim.since(job.at);
+    let aim = due + span;
+    let end = wall + left_ms(job, time);
+    let hope = if job.spec.steps.iter().any(|step| step.lasting) || end <= aim {
+        Hope::InTime
+    } else if end <= due + span * WORTHLESS_SPANS {
+        Hope::Late
+    } else {
+        Hope::Worthless
+    };
+    Urgency { priority: job.priority, hope, left_tenths: left_tenths(job, time), aim }
+}
+
+/// The part of the estimated work at a time of a job that is not done, in tenths.
+fn left_tenths(job: &Job, time: usize) -> u64 {
+    let steps = || job.spec.steps.iter().zip(job.times.get(time).into_iter().flatten());
+    let all: u64 = steps().map(|(step, tasks)| step.estimate_ms * tasks.len() as u64).sum();
+    let open = |tasks: &[Task]| tasks.iter().filter(|task| !task.done).count() as u64;
+    let left: u64 = steps().map(|(step, tasks)| step.estimate_ms * open(tasks)).sum();
+    left * 10 / all.max(1)
+}
+
+/// The longest chain of estimates through the steps that are not done, in milliseconds.
+fn left_ms(job: &Job, time: usize) -> u64 {
+    let Some(times) = job.times.get(time) else { return 0 };
+    longest_chain(&job.spec.steps, |step| {
+        times.get(step).is_some_and(|tasks| tasks.iter().any(|task| !task.done))
+    })
+}
