Queues whose steps only some workers may run, as an adviser says

Change: a pure core keeps the adviser's verdicts per step and life of a worker, asks one question at a time about at most thirty workers with room, again after a failure or once a ticket runs out; placement and orders need a ticket. A new leader asks before it orders what a former one placed. Ruled out: tickets in the log (they run out in seconds, and a leader can ask again).

--- a/crates/pond-agent/src/core/due.rs
+++ b/crates/pond-agent/src/core/due.rs
@@ -74,6 +74,7 @@
                     run: *name,
                     text: order.text.clone(),
                     save: order.save.clone(),
+                    ticket: order.ticket.clone(),
                     lease_end_ms,
                 },
                 Phase::Stopping => Call::Stop { run: *name },
--- a/crates/pond-agent/src/worker.rs
+++ b/crates/pond-agent/src/worker.rs
@@ -18,6 +18,8 @@
         text: String,
         /// The save to go on from; empty for none.
         save: String,
+        /// The adviser's ticket; empty for none.
+        ticket: String,
         /// Everything at the worker may run until then, on its clock in milliseconds.
         lease_end_ms: u64,
     },
@@ -69,6 +71,8 @@
     Late,
     /// There is no room.
     NoRoom,
+    /// It wants another ticket.
+    NoTicket,
     /// It is not well and has done nothing.
     Unwell,
     /// It does not understand the call, or refuses for a reason of its own.
--- a/crates/pond-agent/tests/core.rs
+++ b/crates/pond-agent/tests/core.rs
@@ -62,7 +62,7 @@
 
     fn start(&mut self, index: u32) {
         let watch = Watch { run: run(index), ..Watch::default() };
-        let start = StartOrder { run: run(index), text: String::new(), save: String::new(), watch };
+        let start = StartOrder { run: run(index), watch, ..StartOrder::default() };
         self.order(Order { lease_end_ms: 56_000, starts: vec![start], ..Order::default() });
     }
 
--- a/crates/pond-http/src/call.rs
+++ b/crates/pond-http/src/call.rs
@@ -22,6 +22,12 @@
         Call { method, path: path.to_owned(), headers: HeaderMap::new(), body: body.into() }
     }
 
+    /// Says that the body is JSON.
+    pub fn with_json(mut self) -> Call {
+        self.headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        self
+    }
+
     /// A header's value as text.
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.get(name).and_then(|value| value.to_str().ok())
--- a/crates/pond-job/src/configuration.rs
+++ b/crates/pond-job/src/configuration.rs
@@ -41,6 +41,19 @@
     pub target_ms: u64,
     /// Longest time for a caller's request, in milliseconds.
     pub timeout_ms: u64,
+    /// How the adviser decides which workers may run its jobs; none if all may.
+    pub advice: Option<Advice>,
+}
+
+/// How an outside adviser decides which workers may run a step, in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Advice {
+    /// What a question takes.
+    pub decide_ms: u64,
+    /// What each worker named in it takes on top.
+    pub each_ms: u64,
+    /// How long a ticket is good for.
+    pub valid_ms: u64,
 }
 
 /// A group of VMs.
--- a/crates/pond-job/src/job.rs
+++ b/crates/pond-job/src/job.rs
@@ -4,6 +4,8 @@
 use pond_proto::job::{Phase, Spec, Step, TaskName};
 use serde::{Deserialize, Serialize};
 
+use crate::configuration::Advice;
+
 /// An accepted job.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Job {
@@ -15,6 +17,8 @@
     pub priority: u32,
     /// How often a task may fail.
     pub attempts: u32,
+    /// How the adviser decides which workers may run it; none if all may.
+    pub advice: Option<Advice>,
     /// What it consists of; empty once it has ended.
     pub spec: Spec,
     /// When it was handed in, on the operators' clock of the leader of that time.
--- /dev/null
+++ b/crates/pond-job/src/lead/advice.rs
@@ -0,0 +1,215 @@
+//! Asks an outside adviser which workers may run a step, and keeps its answers.
+//!
+//! Some queues have a policy that only the adviser knows. For each step it names workers that may run it,
+//! with a ticket that the worker wants to see for as long as this life of it lasts. Which workers may
+//! run a step never changes; tickets run out.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+use pond_proto::job::{RunName, TaskName};
+use pond_proto::{Millis, Span};
+
+use super::candidate::Candidate;
+use super::ready::Ready;
+use super::{Leader, Output};
+use crate::configuration::Advice;
+use crate::state::State;
+
+/// Workers named in one question. The adviser takes some time for each, and the aim of a job allows for
+/// a question about thirty.
+const NAMED: usize = 30;
+
+/// A question without an answer is asked again after this time, in milliseconds: an adviser that is
+/// asked too often answers nobody.
+const AGAIN_MS: Span = 500;
+
+/// A ticket is not used in the last part of its time: this share of it, as the start must still
+/// reach the worker.
+const LAST_PART: Span = 4;
+
+/// A step at one time of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct StepName {
+    /// The job.
+    pub job: u64,
+    /// Which of its times, from zero.
+    pub time: u32,
+    /// Which of its steps, from zero.
+    pub step: u32,
+}
+
+impl From<TaskName> for StepName {
+    fn from(task: TaskName) -> StepName {
+        StepName { job: task.job, time: task.time, step: task.step }
+    }
+}
+
+impl fmt::Display for StepName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let StepName { job, time, step } = self;
+        write!(f, "{job:016x}.{time}.{step}")
+    }
+}
+
+/// A question to the adviser.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Question {
+    /// The step that should run.
+    pub step: StepName,
+    /// Lives of workers that have room for it.
+    pub workers: Vec<String>,
+    /// How long the adviser takes.
+    pub advice: Advice,
+}
+
+/// The adviser allows a worker to run a step.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Permit {
+    /// The life of the worker.
+    pub worker: String,
+    /// What the worker wants to see.
+    pub ticket: String,
+}
+
+/// What is known of one worker for one step.
+#[derive(Clone, Debug, PartialEq)]
+enum Verdict {
+    Barred,
+    Allowed { ticket: String, until: Millis },
+}
+
+/// The adviser's answers so far.
+#[derive(Debug, Default)]
+pub struct Adviser {
+    verdicts: BTreeMap<StepName, BTreeMap<String, Verdict>>,
+    /// The question on its way.
+    asking: Option<StepName>,
+    /// No question before this time.
+    not_before: Millis,
+}
+
+impl Adviser {
+    /// The ticket with which a worker may run a step now.
+    pub fn ticket(&self, now: Millis, step: StepName, worker: &str) -> Option<&str> {
+        match self.verdicts.get(&step)?.get(worker)? {
+            Verdict::Allowed { ticket, until } if now < *until => Some(ticket),
+            _ => None,
+        }
+    }
+
+    /// Whether the adviser can say something new about a worker.
+    fn unknown(&self, now: Millis, step: StepName, worker: &str) -> bool {
+        let verdict = self.verdicts.get(&step).and_then(|verdicts| verdicts.get(worker));
+        match verdict {
+            None => true,
+            Some(Verdict::Barred) => false,
+            Some(Verdict::Allowed { until, .. }) => now >= *until,
+        }
+    }
+
+    /// A worker did not take its ticket.
+    pub fn refused(&mut self, run: RunName, worker: &str) {
+        if let Some(verdicts) = self.verdicts.get_mut(&run.task.into()) {
+            verdicts.remove(worker);
+        }
+    }
+
+    /// The next question about these workers, if one is due.
+    fn question(
+        &mut self,
+        now: Millis,
+        step: StepName,
+        workers: impl Iterator<Item = String>,
+        advice: Advice,
+    ) -> Option<Question> {
+        if self.asking.is_some() || now < self.not_before {
+            return None;
+        }
+        let unknown = workers.filter(|worker| self.unknown(now, step, worker));
+        let workers: Vec<String> = unknown.take(NAMED).collect();
+        if workers.is_empty() {
+            return None;
+        }
+        self.asking = Some(step);
+        Some(Question { step, workers, advice })
+    }
+
+    /// The adviser answered a question, or did not.
+    pub fn answer(&mut self, now: Millis, question: &Question, permits: Option<Vec<Permit>>) {
+        self.asking = None;
+        let Some(permits) = permits else {
+            self.not_before = now + AGAIN_MS;
+            return;
+        };
+        let valid_ms = question.advice.valid_ms - question.advice.valid_ms / LAST_PART;
+        let verdicts = self.verdicts.entry(question.step).or_default();
+        for worker in &question.workers {
+            verdicts.insert(worker.clone(), Verdict::Barred);
+        }
+        for permit in permits {
+            let until = now + valid_ms;
+            verdicts.insert(permit.worker, Verdict::Allowed { ticket: permit.ticket, until });
+        }
+    }
+
+    /// Drops the answers about jobs that are over.
+    pub fn forget(&mut self, ended: impl Fn(u64) -> bool) {
+        self.verdicts.retain(|step, _| !ended(step.job));
+    }
+}
+
+impl Leader {
+    /// The adviser answered a question, or did not.
+    pub fn advised(&mut self, now: Millis, question: &Question, permits: Option<Vec<Permit>>) {
+        self.adviser.answer(now, question, permits);
+    }
+
+    /// Asks about runs that cannot be ordered for want of a ticket.
+    pub(super) fn ask_about_placed(&mut self, state: &State, now: Millis) {
+        for (step, worker, advice) in self.placed_without_ticket(state, now) {
+            let question = self.adviser.question(now, step, std::iter::once(worker), advice);
+            self.outputs.extend(question.map(Output::Advise));
+        }
+    }
+
+    /// Asks about the most urgent step that waits for a worker.
+    pub(super) fn ask_adviser(
+        &mut self,
+        now: Millis,
+        ready: &[Ready<'_>],
+        candidates: &[Candidate],
+    ) {
+        for group in ready {
+            let (Some(advice), Some(step)) =
+                (group.job.advice, group.job.spec.steps.get(group.step))
+            else {
+                continue;
+            };
+            let task = group.task(0);
+            let fits = |candidate: &&Candidate| candidate.fits(&group.job.pool, task, step);
+            let workers = candidates.iter().filter(fits).map(|candidate| candidate.life.clone());
+            let question = self.adviser.question(now, task.into(), workers, advice);
+            self.outputs.extend(question.map(Output::Advise));
+        }
+    }
+
+    /// Runs that a former leader placed and that could not be ordered yet.
+    fn placed_without_ticket(&self, state: &State, now: Millis) -> Vec<(StepName, String, Advice)> {
+        let mut missing = BTreeSet::new();
+        let mut found = Vec::new();
+        for (life, worker) in &self.workers {
+            for run in state.placed(life).filter(|run| !worker.rows.contains_key(run)) {
+                let Some(advice) = state.job(run.task.job).and_then(|job| job.advice) else {
+                    continue;
+                };
+                let step = StepName::from(run.task);
+                let has = self.adviser.ticket(now, step, life).is_some();
+                if !has && missing.insert((step, life)) {
+                    found.push((step, life.clone(), advice));
+                }
+            }
+        }
+        found
+    }
+}
--- a/crates/pond-job/src/lead/ends.rs
+++ b/crates/pond-job/src/lead/ends.rs
@@ -121,6 +121,7 @@
         }
         for run in unstarted {
             self.unwanted.remove(run);
+            self.adviser.refused(*run, life);
             health.bad(now, run.task.job);
             self.avoided.entry(run.task).or_default().insert(life.to_owned());
         }
--- a/crates/pond-job/src/lead/mod.rs
+++ b/crates/pond-job/src/lead/mod.rs
@@ -5,6 +5,7 @@
 //! ended when its lease has surely run out: the lease is extended only in answer to a report, up to
 //! a time counted from the worker's clock in that report.
 
+mod advice;
 mod candidate;
 mod ends;
 mod evict;
@@ -29,11 +30,13 @@
 use crate::change::{Change, Reply};
 use crate::state::State;
 
+use advice::Adviser;
 use harm::Harm;
 use health::Health;
 use order::filler;
 use worker::Worker;
 
+pub use advice::{Permit, Question, StepName};
 pub use output::{Decision, Output, Terms};
 
 /// Time after which an order that shows no effect is sent again, in milliseconds. A report comes
@@ -69,6 +72,8 @@
     avoided: BTreeMap<TaskName, BTreeSet<String>>,
     /// What filling tasks do to serving ones.
     harm: Harm,
+    /// Which workers may run the steps of some queues.
+    adviser: Adviser,
     /// Lives whose agents may need an order.
     dirty: BTreeSet<String>,
     /// When this replica last looked at what is overdue.
@@ -92,6 +97,7 @@
             unwanted: BTreeSet::new(),
             avoided: BTreeMap::new(),
             harm: Harm::default(),
+            adviser: Adviser::default(),
             dirty: BTreeSet::new(),
             looked: Millis(0),
             ended: BTreeMap::new(),
@@ -184,6 +190,7 @@
                 self.lose_silent(state, now);
                 self.forget_old(state, now);
                 self.touch_unsettled(state, now);
+                self.ask_about_placed(state, now);
             }
             self.plan(state, now, wall);
             self.send_orders(state, now);
@@ -216,6 +223,7 @@
         // If the proposal is lost, it is made again after as long.
         self.ended.extend(old.iter().map(|id| (*id, now)));
         self.avoided.retain(|task, _| !old.contains(&task.job));
+        self.adviser.forget(|job| old.contains(&job));
         self.outputs.push(Output::Propose(Change::Forget(old)));
     }
 }
--- a/crates/pond-job/src/lead/order.rs
+++ b/crates/pond-job/src/lead/order.rs
@@ -6,6 +6,7 @@
 use pond_proto::fleet::{Order, StartOrder, Watch};
 use pond_proto::job::{RunName, Step};
 
+use super::advice::Adviser;
 use super::harm::{Filler, Served, share};
 use super::worker::Worker;
 use super::{Leader, Output};
@@ -82,7 +83,7 @@
             lease_end_ms: worker.clock_ms + self.terms.hold_ms,
             settled: state.settled(life),
             forget: std::mem::take(&mut worker.forget).into_iter().collect(),
-            starts: starts(state, now, worker, &wanted, &watches),
+            starts: starts(state, now, life, worker, &wanted, &watches, &self.adviser),
             stops: stops(now, worker, &wanted),
             watches: fresh_watches(worker, &wanted, watches),
         };
@@ -96,18 +97,25 @@
 fn starts(
     state: &State,
     now: Millis,
+    life: &str,
     worker: &mut Worker,
     wanted: &BTreeMap<RunName, bool>,
     watches: &[Watch],
+    adviser: &Adviser,
 ) -> Vec<StartOrder> {
     let mut starts = Vec::new();
     for run in wanted.iter().filter(|(_, wanted)| **wanted).map(|(run, _)| *run) {
         if worker.rows.contains_key(&run) || !worker.order_due(run, now) {
             continue;
         }
+        let advised = state.job(run.task.job).is_some_and(|job| job.advice.is_some());
+        let ticket = adviser.ticket(now, run.task.into(), life);
+        if advised && ticket.is_none() {
+            continue;
+        }
         worker.ordered.insert(run, now);
         let watch = watches.iter().find(|watch| watch.run == run).cloned();
-        starts.extend(start_order(state, run, watch));
+        starts.extend(start_order(state, run, watch, ticket.unwrap_or_default()));
     }
     starts
 }
@@ -150,9 +158,14 @@
     told.blame_permille.abs_diff(watch.blame_permille) >= BLAME_STEP_PERMILLE
 }
 
-fn start_order(state: &State, run: RunName, watch: Option<Watch>) -> Option<StartOrder> {
+fn start_order(
+    state: &State,
+    run: RunName,
+    watch: Option<Watch>,
+    ticket: &str,
+) -> Option<StartOrder> {
     let job = state.job(run.task.job)?;
     let save = job.task(run.task)?.save.clone();
     let text = job.spec.text.clone();
-    Some(StartOrder { run, text, save, watch: watch? })
+    Some(StartOrder { run, text, save, watch: watch?, ticket: ticket.to_owned() })
 }
--- a/crates/pond-job/src/lead/output.rs
+++ b/crates/pond-job/src/lead/output.rs
@@ -4,6 +4,7 @@
 use pond_proto::fleet::Order;
 use pond_proto::job::RunName;
 
+use super::advice::Question;
 use crate::change::Change;
 
 /// Times that the decisions depend on.
@@ -38,6 +39,8 @@
         /// What its worker should do.
         order: Order,
     },
+    /// Ask the adviser and hand its answer to [`super::Leader::advised`].
+    Advise(Question),
     /// A decision worth a line in the log.
     Decided(Decision),
 }
--- a/crates/pond-job/src/lead/plan.rs
+++ b/crates/pond-job/src/lead/plan.rs
@@ -30,12 +30,13 @@
         }
         let mut candidates = self.candidates(state, now);
         let mut starts = Vec::new();
-        for group in ready {
+        for group in &ready {
             if starts.len() >= STARTS {
                 break;
             }
-            self.place(&group, &mut candidates, &mut starts);
+            self.place(now, group, &mut candidates, &mut starts);
         }
+        self.ask_adviser(now, &ready, &candidates);
         if !starts.is_empty() {
             self.starting = Some(now);
             self.outputs.push(Output::Propose(Change::Start(starts)));
@@ -86,11 +87,17 @@
         candidates
     }
 
-    fn place(&self, group: &Ready<'_>, candidates: &mut [Candidate], starts: &mut Vec<Start>) {
+    fn place(
+        &self,
+        now: Millis,
+        group: &Ready<'_>,
+        candidates: &mut [Candidate],
+        starts: &mut Vec<Start>,
+    ) {
         let Some(step) = group.job.spec.steps.get(group.step) else { return };
         let tasks = &group.job.times[group.time][group.step];
         if step.gang {
-            self.place_gang(group, step, candidates, starts);
+            self.place_gang(now, group, step, candidates, starts);
             return;
         }
         for (index, task) in tasks.iter().enumerate() {
@@ -98,7 +105,7 @@
                 continue;
             }
             let name = group.task(index);
-            let Some(found) = self.best(group, name, step, candidates) else {
+            let Some(found) = self.best(now, group, name, candidates) else {
                 // What has no place for one task has none for the others, as they are equal.
                 keep_room(group, step, index, candidates);
                 break;
@@ -112,6 +119,7 @@
     /// A gang is placed whole or not at all, and only once all of its last run has ended.
     fn place_gang(
         &self,
+        now: Millis,
         group: &Ready<'_>,
         step: &Step,
         candidates: &mut [Candidate],
@@ -126,7 +134,7 @@
         let mut placed = Vec::new();
         for index in 0..tasks.len() {
             let name = group.task(index);
-            let Some(found) = self.best(group, name, step, &after) else { return };
+            let Some(found) = self.best(now, group, name, &after) else { return };
             after[found].take(name, step, group.served.clone());
             let run = RunName { task: name, number };
             placed.push(after[found].start(run));
@@ -137,11 +145,13 @@
 
     fn best(
         &self,
+        now: Millis,
         group: &Ready<'_>,
         task: TaskName,
-        step: &Step,
         candidates: &[Candidate],
     ) -> Option<usize> {
+        let step = group.job.spec.steps.get(group.step)?;
+        let advised = group.job.advice.is_some();
         let mut best = None;
         for (i, candidate) in candidates.iter().enumerate() {
             if !candidate.fits(&group.job.pool, task, step) {
@@ -150,6 +160,9 @@
             if !candidate.bears(step, &self.harm) {
                 continue;
             }
+            if advised && self.adviser.ticket(now, task.into(), &candidate.life).is_none() {
+                continue;
+            }
             let avoided = self.avoided.get(&task);
             let avoided = avoided.is_some_and(|avoided| avoided.contains(&candidate.life));
             let sound = candidate.more > 0;
--- a/crates/pond-job/src/lib.rs
+++ b/crates/pond-job/src/lib.rs
@@ -11,7 +11,7 @@
 mod state;
 
 pub use change::{Change, End, Reply, Start};
-pub use configuration::{Configuration, Invalid, Limits, Pool, Queue};
+pub use configuration::{Advice, Configuration, Invalid, Limits, Pool, Queue};
 pub use job::{Job, Task};
-pub use lead::{Decision, Leader, Output, Terms};
+pub use lead::{Decision, Leader, Output, Permit, Question, StepName, Terms};
 pub use state::State;
--- a/crates/pond-job/src/state/mod.rs
+++ b/crates/pond-job/src/state/mod.rs
@@ -141,6 +141,7 @@
             pool: queue.pool.clone(),
             priority: queue.priority,
             attempts: queue.attempts.max(1),
+            advice: queue.advice,
             spec,
             at,
             aim: at + span,
--- a/crates/pond-job/tests/support/mod.rs
+++ b/crates/pond-job/tests/support/mod.rs
@@ -3,7 +3,10 @@
 
 use std::collections::BTreeMap;
 
-use pond_job::{Change, Configuration, Decision, Leader, Output, Pool, Queue, Reply, State, Terms};
+use pond_job::{
+    Advice, Change, Configuration, Decision, Leader, Output, Pool, Question, Queue, Reply, State,
+    Terms,
+};
 use pond_proto::Millis;
 use pond_proto::fleet::{EndRow, Order, Report, RunRow, StartOrder};
 use pond_proto::job::{How, Phase, RunName, Spec, Step, TaskName};
@@ -11,6 +14,7 @@
 pub const HOST: &str = "jobs.example";
 pub const PATH: &str = "/quick/";
 pub const BATCH: &str = "/batch/";
+pub const ADVISED: &str = "/advised/";
 
 pub fn terms() -> Terms {
     Terms { hold_ms: 6_000, drift_permille: 20, slack_ms: 100, keep_ms: 60_000 }
@@ -27,8 +31,11 @@
         stretch_permille: 1500,
         target_ms: 250,
         timeout_ms: 3000,
+        advice: None,
     };
-    let queues = vec![queue("quick", PATH, 0), queue("batch", BATCH, 2)];
+    let advice = Some(Advice { decide_ms: 50, each_ms: 10, valid_ms: 4_000 });
+    let advised = Queue { advice, ..queue("advised", ADVISED, 0) };
+    let queues = vec![queue("quick", PATH, 0), queue("batch", BATCH, 2), advised];
     let pool = Pool { name: "vms".to_owned(), guards: true, spare: false };
     Configuration { version, queues, pools: vec![pool], ..Configuration::default() }
 }
@@ -66,6 +73,7 @@
     pub vms: BTreeMap<String, Vm>,
     pub decided: Vec<Decision>,
     pub proposed: Vec<Change>,
+    pub asked: Vec<Question>,
 }
 
 impl Bench {
@@ -76,7 +84,7 @@
         let now = Millis(100_000);
         let leader = Leader::new(7, terms(), now);
         let (vms, decided, proposed) = (BTreeMap::new(), Vec::new(), Vec::new());
-        Bench { state, leader, now, vms, decided, proposed }
+        Bench { state, leader, now, vms, decided, proposed, asked: Vec::new() }
     }
 
     /// Adds a worker of so many thousandths of a processor and lets it report.
@@ -114,6 +122,10 @@
         self.submit_to(PATH, id, spec);
     }
 
+    pub fn submit_advised(&mut self, id: u64, steps: Vec<Step>) {
+        self.submit_to(ADVISED, id, spec(steps));
+    }
+
     fn submit_to(&mut self, prefix: &str, id: u64, spec: Spec) {
         let (host, path) = (HOST.to_owned(), format!("{prefix}{id:016x}"));
         let reply = self.apply(Change::Submit { host, path, id, spec, at: self.now });
@@ -131,6 +143,11 @@
         reply
     }
 
+    /// Another replica leads, which knows only the log.
+    pub fn replace_leader(&mut self) {
+        self.leader = Leader::new(8, terms(), self.now);
+    }
+
     /// A worker reports what it has, with its clock as it stands.
     pub fn report(&mut self, life: &str) {
         let Some(vm) = self.vms.get(life) else { return };
@@ -177,6 +194,7 @@
                     vm.orders.push(order);
                 }
             }
+            Output::Advise(question) => self.asked.push(question),
             Output::Decided(decision) => self.decided.push(decision),
         }
     }
--- a/crates/pond-log/src/events.rs
+++ b/crates/pond-log/src/events.rs
@@ -147,6 +147,8 @@
     WORKER_REGISTERED = 615, Info, "a worker registered or changed", "nothing";
     RUN_PACED = 616, Info, "a filling run was slowed down or sped up", "nothing";
     RUN_MOVED = 617, Info, "a filling run disturbs serving ones and is moved", "nothing";
+    ADVICE_FAILED = 618, Warning, "the adviser did not answer which workers may run a step",
+        "look at the adviser; it is asked again";
 }
 
 /// The catalogue as the page `docs/EVENTS.md`.
--- a/crates/pond-replica/src/handle.rs
+++ b/crates/pond-replica/src/handle.rs
@@ -1,6 +1,6 @@
-//! What operators ask of a replica.
+//! What operators ask of a replica, and other news from outside.
 
-use pond_job::Configuration;
+use pond_job::{Configuration, Permit, Question};
 use tokio::sync::{mpsc, oneshot};
 
 /// This replica cannot do it.
@@ -20,6 +20,8 @@
     Read(oneshot::Sender<Result<Option<String>, Elsewhere>>),
     /// Further addresses of replicas.
     Learn(Vec<String>),
+    /// The adviser answered the leader's question, or did not.
+    Advised(Question, Option<Vec<Permit>>),
     /// Stop as planned.
     Stop,
 }
--- a/crates/pond-replica/src/lead.rs
+++ b/crates/pond-replica/src/lead.rs
@@ -1,6 +1,6 @@
 //! What only a leader does: decides about runs, orders, changes members, tells who leads.
 
-use pond_job::{Change, Leader, Output};
+use pond_job::{Change, Leader, Output, Question};
 use pond_link::LinkKey;
 use pond_log::event;
 use pond_proto::fleet::{Lead, Report};
@@ -9,6 +9,7 @@
 use pond_quorum::Input;
 
 use crate::formation::Replacement;
+use crate::handle::Request;
 use crate::replica::Replica;
 use crate::waiting::Waiter;
 
@@ -42,6 +43,7 @@
                         guest.sender.send(Body::Order(order));
                     }
                 }
+                Output::Advise(question) => self.advise(question),
                 Output::Decided(decision) => self.log_decision(decision),
             }
         }
@@ -50,6 +52,16 @@
         }
     }
 
+    /// Asks the adviser beside everything else; its answer comes back as a request.
+    fn advise(&self, question: Question) {
+        let (adviser, own) = (self.adviser.clone(), self.own.clone());
+        tokio::spawn(async move {
+            let permits = adviser.advise(question.clone()).await;
+            // The replica is gone only when it has stopped.
+            let _ = own.requests.send(Request::Advised(question, permits)).await;
+        });
+    }
+
     pub(crate) fn report(&mut self, now: Millis, link: LinkKey, report: Report) {
         let Some(leader) = &mut self.leader else { return };
         let Some(guest) = self.guests.get(&link) else { return };
--- a/crates/pond-replica/src/lib.rs
+++ b/crates/pond-replica/src/lib.rs
@@ -4,6 +4,7 @@
 //! syncs: a replica whose disk hangs sends no heartbeats and loses the lead. Links and operators
 //! feed it through bounded queues.
 
+mod adviser;
 mod asks;
 mod audit;
 mod formation;
@@ -14,6 +15,7 @@
 mod replica;
 mod waiting;
 
+pub use adviser::Adviser;
 pub use formation::{Formation, Replacement};
 pub use handle::{Elsewhere, Handle};
 pub use replica::{Replica, Settings};
--- a/crates/pond-replica/src/replica.rs
+++ b/crates/pond-replica/src/replica.rs
@@ -17,6 +17,7 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
+use crate::adviser::Adviser;
 use crate::formation::Formation;
 use crate::handle::{Elsewhere, Handle, Request};
 use crate::peers::Peers;
@@ -89,6 +90,10 @@
     pub(crate) told: Option<Lead>,
     pub(crate) metrics: Metrics,
     pub(crate) log: Logger,
+    /// Where the leader asks which workers may run a step.
+    pub(crate) adviser: Arc<dyn Adviser>,
+    /// Brings answers of the adviser back.
+    pub(crate) own: Handle,
     /// Until when a planned stop waits for another leader.
     pub(crate) stopping: Option<Millis>,
     links: mpsc::Receiver<Event>,
@@ -97,19 +102,20 @@
 }
 
 impl Replica {
-    /// A replica from what its files held, with its links on the current runtime.
+    /// A replica from its files and what they held, with its links on the current runtime.
     ///
     /// # Errors
     /// If the snapshot cannot be read.
     pub fn start(
         settings: Settings,
-        store: Store,
-        recovered: Recovered,
+        files: (Store, Recovered),
         listener: TcpListener,
+        adviser: Arc<dyn Adviser>,
         start: Instant,
         metrics: Metrics,
         log: Logger,
     ) -> Result<(Replica, Handle), String> {
+        let (store, recovered) = files;
         let state = recovered_state(&recovered, &log)?;
         let formation = formation(&settings, &recovered);
         let applied = recovered.snapshot.as_ref().map_or(0, |snapshot| snapshot.head.index);
@@ -117,6 +123,7 @@
         let (requests, request_queue) = mpsc::channel(REQUESTS);
         let (events, links) = mpsc::channel(EVENTS);
         let peers = Peers::start(&settings, listener, events, log.clone());
+        let handle = Handle { requests };
         let replica = Replica {
             settings,
             store,
@@ -131,12 +138,14 @@
             told: None,
             metrics,
             log,
+            adviser,
+            own: handle.clone(),
             stopping: None,
             links,
             requests: request_queue,
             start,
         };
-        Ok((replica, Handle { requests }))
+        Ok((replica, handle))
     }
 
     pub(crate) fn now(&self) -> Millis {
@@ -201,6 +210,11 @@
                 let _ = reply.send(read);
             }
             Request::Learn(addresses) => self.peers.learn(&addresses),
+            Request::Advised(question, permits) => {
+                if let Some(leader) = &mut self.leader {
+                    leader.advised(now, &question, permits);
+                }
+            }
             Request::Stop => self.stop(now),
         }
     }
