--- a/.ci/mutations.py
+++ b/.ci/mutations.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Breaks one rule after the other in a copy of the tree and shows that a test notices.
 
-Usage: .ci/mutations.py [WORD]   only the mutations whose name holds WORD
+Usage: .ci/mutations.py [WORD ...]   only the mutations whose name holds one of the words
 
 Each mutation is a text that must stand in a file exactly once, what replaces it, and the package
 whose tests must then fail. The list stands in docs/MUTATIONS.md too. Not part of .ci/run, since
@@ -28,14 +28,14 @@
 
 
 def main():
-    wanted = sys.argv[1] if len(sys.argv) > 1 else ""
+    wanted = sys.argv[1:] or [""]
     copy = pathlib.Path(tempfile.mkdtemp(prefix="pondbay-mutations-"))
-    for name in ("Cargo.toml", "Cargo.lock", "src", "crates", "examples", "docs"):
+    for name in ("Cargo.toml", "Cargo.lock", "src", "crates", "platform", "tests", "examples", "docs", "deploy"):
         source = ROOT / name
         (shutil.copytree if source.is_dir() else shutil.copy)(source, copy / name)
     missed = 0
     for name, package, file, old, new in read_list():
-        if wanted not in name:
+        if not any(word in name for word in wanted):
             continue
         path = copy / file
         text = path.read_text()
