Serving tasks stand with those of their image, among workers that serve already

Change: among workers that serve already, those with the same image first, then those with the fewest images.

--- a/crates/pond-job/src/lead/candidate.rs
+++ b/crates/pond-job/src/lead/candidate.rs
@@ -14,6 +14,16 @@
 /// its peak. Filling tasks get the rest.
 const SERVING_USE_PERCENT: i64 = 50;
 
+/// How much it counts that a worker serves already, against one more image there: more than the images
+/// that fit on one worker.
+const TOGETHER: i64 = 30;
+
+/// How much it counts that a worker serves the same image already, against one more image there.
+const ALIKE: i64 = 3;
+
+/// How much a tenth of pressure too much counts, against one more image there.
+const DISTURBED: i64 = 10;
+
 /// A worker with what it has room for.
 #[derive(Clone, Debug)]
 pub struct Candidate {
@@ -110,10 +120,7 @@
     pub fn score(&self, step: &Step, served: Option<&Served>, harm: &Harm) -> (bool, i64, i64) {
         let near = step.data_rack.is_empty() || self.labels.contains(&step.data_rack);
         if let Some(served) = served {
-            // Serving tasks stand together, away from what would disturb them.
-            let disturbed = harm.excess(std::slice::from_ref(served), &self.fillers).max(0.0);
-            let calm = i64::from(!self.served.is_empty());
-            return (near, calm - tenths(disturbed), -self.idle);
+            return (near, self.suits(served, harm), -self.idle);
         }
         if let Some(filler) = filler(step, self.processors).filter(|_| !self.served.is_empty()) {
             let added = harm.added(&self.served, &filler);
@@ -123,6 +130,17 @@
         (near, room, self.idle)
     }
 
+    /// How well a serving task stands here; higher is better. Serving tasks stand together, away from
+    /// what would disturb them, and with those of their own image: the fewer images a worker serves,
+    /// the more filling images disturb none of them.
+    fn suits(&self, served: &Served, harm: &Harm) -> i64 {
+        let disturbed = harm.excess(std::slice::from_ref(served), &self.fillers).max(0.0);
+        let together = i64::from(!self.served.is_empty());
+        let alike = i64::from(self.served.iter().any(|there| there.image == served.image));
+        let images = self.served.len() as i64;
+        TOGETHER * together + ALIKE * alike - images - DISTURBED * tenths(disturbed)
+    }
+
     /// Whether the serving tasks here would keep their targets beside one more filling task.
     pub fn bears(&self, step: &Step, harm: &Harm) -> bool {
         let Some(filler) = filler(step, self.processors).filter(|_| !self.served.is_empty()) else {
@@ -132,12 +150,12 @@
     }
 }
 
-/// A share of a target in tenths, so that small differences do not decide.
+/// A share in tenths, so that small differences do not decide.
 fn tenths(share: f64) -> i64 {
     (share * 10.0) as i64
 }
 
-/// A share of a target in hundredths.
+/// A share in hundredths.
 fn hundredths(share: f64) -> i64 {
     (share * 100.0) as i64
 }
--- a/crates/pond-job/tests/harm.rs
+++ b/crates/pond-job/tests/harm.rs
@@ -112,3 +112,19 @@
     bench.settle();
     assert_eq!(bench.place_of(support::task(9, 0, 0)), None);
 }
+
+#[test]
+fn serving_tasks_stand_with_those_of_their_image() {
+    let mut bench = Bench::new().with_vm("a", 32_000).with_vm("b", 32_000).with_vm("c", 32_000);
+    let of = |image: &str| Step { image: image.to_owned(), ..serving() };
+    // Two images that cannot share a worker, as each leaves little of it.
+    bench.submit(1, vec![Step { milli_cpu: 20_000, ..of("till") }]);
+    bench.submit(2, vec![Step { milli_cpu: 20_000, ..of("desk") }]);
+    bench.settle();
+    bench.submit(3, vec![of("desk")]);
+    bench.submit(4, vec![of("till")]);
+    bench.settle();
+    let place = |job| bench.place_of(support::task(job, 0, 0));
+    assert_eq!((place(3), place(4)), (place(2), place(1)));
+    assert_ne!(place(1), place(2));
+}
