--- a/crates/pond-job/src/lead/evict.rs
+++ b/crates/pond-job/src/lead/evict.rs
@@ -9,6 +9,11 @@
 use super::{Decision, Leader, Output};
 use crate::state::State;
 
+/// From this part of its work on, in percent, a run is left to end by itself: a move costs it more than it
+/// spares the others. (Mean worth of 24 days without it 0.587 and 0.621, from 70 percent on 0.605 and 0.626,
+/// from 50 on 0.597 and 0.647. If it lasts after all, the agent slows it down.)
+const SOON_DONE_PERCENT: u32 = 50;
+
 impl Leader {
     /// Stops the filling runs that are why a serving run beside them will miss its target, so that they
     /// go on elsewhere. To slow them down would cost them more: a stopped run keeps its save.
@@ -20,7 +25,7 @@
         }
         let excess = self.harm.excess(&served, &fillers);
         for i in guilty {
-            if !self.unwanted.insert(runs[i]) {
+            if soon_done(report, runs[i]) || !self.unwanted.insert(runs[i]) {
                 continue;
             }
             let decision = Decision::Moved {
@@ -57,6 +62,11 @@
     }
 }
 
+/// Whether a run will be done about as soon as a move would show.
+fn soon_done(report: &Report, run: RunName) -> bool {
+    report.runs.iter().any(|row| row.run == run && row.percent >= SOON_DONE_PERCENT)
+}
+
 /// In thousandths, zero for none.
 fn permille(share: f64) -> u32 {
     (share * 1_000.0) as u32
