Doc comments say what the code does

What was hard to read: the comment of forget_old stood above drop_lost_runs; blame was said to be in thousandths of the target, though it has been a pressure since runs are moved; Adviser::refused and Harm::forget said less or other than they do; a few private functions of the models had none. Change: comments only. Behaviour is the same: no code changed.

--- a/crates/pond-job/src/lead/advice.rs
+++ b/crates/pond-job/src/lead/advice.rs
@@ -108,7 +108,7 @@
         }
     }
 
-    /// A worker did not take its ticket.
+    /// A worker did not start a run, perhaps for its ticket: the adviser is asked about it again.
     pub fn refused(&mut self, run: RunName, worker: &str) {
         if let Some(verdicts) = self.verdicts.get_mut(&run.task.into()) {
             verdicts.remove(worker);
--- a/crates/pond-job/src/lead/candidate.rs
+++ b/crates/pond-job/src/lead/candidate.rs
@@ -45,7 +45,7 @@
     pub passing: Size,
     /// Processors that nothing uses, filling tasks counted, in thousandths.
     pub idle: i64,
-    /// Images of serving tasks there.
+    /// Serving tasks there, one for each image: that of the highest load.
     pub served: Vec<Served>,
     /// Filling tasks there.
     pub fillers: Vec<Filler>,
@@ -116,7 +116,8 @@
         *self.steps.entry((task.job, task.time, task.step)).or_default() += 1;
     }
 
-    /// Higher is better.
+    /// How well a task stands here, as nearness to its data, then what its kind depends on; higher is
+    /// better.
     pub fn score(&self, step: &Step, served: Option<&Served>, harm: &Harm) -> (bool, i64, i64) {
         let near = step.data_rack.is_empty() || self.labels.contains(&step.data_rack);
         if let Some(served) = served {
--- a/crates/pond-job/src/lead/harm.rs
+++ b/crates/pond-job/src/lead/harm.rs
@@ -95,6 +95,7 @@
         used
     }
 
+    /// Learns from the tail of one serving run, beside which filling images use these shares.
     fn learn_one(&mut self, now: Millis, step: &Step, row: &RunRow, used: &BTreeMap<String, f64>) {
         let new =
             || Model { scale: Scale::new(step.tail_target_ms), added: Regression::new(TUNING) };
@@ -113,7 +114,7 @@
         load.learn(now, surprise.error, surprise.variance);
     }
 
-    /// Drops what is known of runs that are over.
+    /// Keeps only what is known of the runs and the lives of workers for which these hold.
     pub fn forget(&mut self, runs: impl Fn(RunName) -> bool, lives: impl Fn(&str) -> bool) {
         self.loads.retain(|run, _| runs(*run));
         self.used.retain(|life, _| lives(life));
@@ -148,6 +149,7 @@
         scale.unwrap_or(Scale::new(served.target_ms)).pressure(served.target_ms)
     }
 
+    /// What a filling image adds to the pressure on a serving one, over shares of the worker's processors.
     fn coefficient(&self, served: &str, filler: &str) -> f64 {
         let model = self.models.get(served);
         model.map_or(TUNING.mean, |model| model.added.coefficient(filler))
--- a/crates/pond-job/src/lead/mod.rs
+++ b/crates/pond-job/src/lead/mod.rs
@@ -198,7 +198,6 @@
         std::mem::take(&mut self.outputs)
     }
 
-    /// Drops the jobs whose phase has been kept long enough.
     /// Runs that are placed nowhere need no stop.
     fn drop_lost_runs(&mut self, state: &State) {
         self.unwanted.retain(|run| {
@@ -207,6 +206,8 @@
         });
     }
 
+    /// Drops the jobs whose phase has been kept long enough, and what was learned of runs and lives that
+    /// are over.
     fn forget_old(&mut self, state: &State, now: Millis) {
         if self.ended.is_empty() {
             // What ended before this replica led is counted from now.
--- a/crates/pond-job/src/lead/order.rs
+++ b/crates/pond-job/src/lead/order.rs
@@ -12,8 +12,8 @@
 use super::{Leader, Output};
 use crate::state::State;
 
-/// Changes of blame below this are not worth a word, in thousandths of the target: a
-/// twentieth, well within the noise of the tails that blame is learned from.
+/// Changes of blame below this are not worth an order, in thousandths of a pressure: a
+/// twentieth, within about two deviations of the pressures that blame is learned from.
 const BLAME_STEP_PERMILLE: u32 = 50;
 
 impl Leader {
--- a/crates/pond-job/src/lead/regression.rs
+++ b/crates/pond-job/src/lead/regression.rs
@@ -47,6 +47,7 @@
         self.places.get(term).map_or(self.tuning.mean, |place| self.means[*place])
     }
 
+    /// The place of a term, a new one if it is not known yet.
     fn place(&mut self, term: &str) -> usize {
         if let Some(place) = self.places.get(term) {
             return *place;
@@ -94,6 +95,7 @@
         Surprise { error, variance }
     }
 
+    /// Coefficients may have changed since the last measurement, but are never less certain than at first.
     fn grow(&mut self) {
         for (i, row) in self.spread.iter_mut().enumerate() {
             if row[i] < self.tuning.variance {
--- a/crates/pond-proto/src/fleet.rs
+++ b/crates/pond-proto/src/fleet.rs
@@ -248,8 +248,8 @@
     /// Its image; filling runs of one image are slowed down together.
     #[prost(string, tag = "4")]
     pub image: String,
-    /// How much a filling run adds to the tails of the serving ones beside it, as far as known, in
-    /// thousandths of the target.
+    /// How much a filling run is expected to add to the pressure on the serving ones beside it, the
+    /// worst of them, in thousandths.
     #[prost(uint32, tag = "5")]
     pub blame_permille: u32,
 }
