The step of a task is looked up in one place

What was hard to read: six places in the leader asked the state for the job of a run and the job for the step, each in words of its own. Change: State::step; the leader's modules use it. Behaviour is the same: the lookup is the same two steps.

--- a/crates/pond-job/src/lead/evict.rs
+++ b/crates/pond-job/src/lead/evict.rs
@@ -42,10 +42,7 @@
     ) -> (Vec<Served>, Vec<RunName>, Vec<Filler>) {
         let (mut served, mut runs, mut fillers) = (Vec::new(), Vec::new(), Vec::new());
         for row in &report.runs {
-            let Some(step) = state.job(row.run.task.job).and_then(|job| job.step(row.run.task))
-            else {
-                continue;
-            };
+            let Some(step) = state.step(row.run.task) else { continue };
             served.extend(self.harm.served(now, row.run, step).filter(|_| row.percent == 100));
             let filler = filler(step, report.milli_cpu);
             if let Some(filler) = filler.filter(|_| !self.unwanted.contains(&row.run)) {
--- a/crates/pond-job/src/lead/harm.rs
+++ b/crates/pond-job/src/lead/harm.rs
@@ -70,7 +70,7 @@
     pub fn learn(&mut self, state: &State, now: Millis, report: &Report) {
         let used = self.used_lately(state, report);
         for row in &report.runs {
-            let Some(step) = step_of(state, row) else { continue };
+            let Some(step) = state.step(row.run.task) else { continue };
             if step.serves() && row.percent == 100 && row.figure > 0 {
                 self.learn_one(now, step, row, &used);
             }
@@ -82,7 +82,7 @@
     fn used_lately(&self, state: &State, report: &Report) -> BTreeMap<String, f64> {
         let mut used: BTreeMap<String, f64> = BTreeMap::new();
         for row in report.runs.iter().filter(|row| row.figure > 0) {
-            let Some(step) = step_of(state, row).filter(|step| step.fills) else { continue };
+            let Some(step) = state.step(row.run.task).filter(|step| step.fills) else { continue };
             *used.entry(step.image.clone()).or_default() += share(row.figure, report.milli_cpu);
         }
         for (image, before) in self.used.get(&report.worker).into_iter().flatten() {
@@ -204,7 +204,3 @@
 pub(super) fn share(milli_cpu: u32, of: u32) -> f64 {
     f64::from(milli_cpu) / f64::from(of.max(1))
 }
-
-fn step_of<'a>(state: &'a State, row: &RunRow) -> Option<&'a Step> {
-    state.job(row.run.task.job)?.step(row.run.task)
-}
--- a/crates/pond-job/src/lead/order.rs
+++ b/crates/pond-job/src/lead/order.rs
@@ -49,10 +49,8 @@
 
     /// How the agent should watch each run of its worker.
     fn watches(&self, state: &State, now: Millis, life: &str) -> Vec<Watch> {
-        let steps: Vec<(RunName, &Step)> = state
-            .placed(life)
-            .filter_map(|run| Some((run, state.job(run.task.job)?.step(run.task)?)))
-            .collect();
+        let steps: Vec<(RunName, &Step)> =
+            state.placed(life).filter_map(|run| Some((run, state.step(run.task)?))).collect();
         let room = self.workers.get(life).map_or(0, |worker| worker.room.milli_cpu);
         let served: Vec<Served> =
             steps.iter().filter_map(|(run, step)| self.harm.served(now, *run, step)).collect();
--- a/crates/pond-job/src/lead/plan.rs
+++ b/crates/pond-job/src/lead/plan.rs
@@ -53,7 +53,7 @@
             let runs: Vec<RunName> = state.placed(life).collect();
             let health = self.health.get(&worker.agent);
             let passes = |run: &&RunName| {
-                let step = state.job(run.task.job).and_then(|job| job.step(run.task));
+                let step = state.step(run.task);
                 step.is_some_and(|step| !step.lasting)
             };
             let passing = runs.iter().filter(passes).count();
@@ -76,7 +76,7 @@
                 steps: BTreeMap::new(),
             };
             for run in runs {
-                let step = state.job(run.task.job).and_then(|job| job.step(run.task));
+                let step = state.step(run.task);
                 if let Some(step) = step {
                     candidate.take(run.task, step, self.harm.served(now, run, step));
                 }
--- a/crates/pond-job/src/lead/progress.rs
+++ b/crates/pond-job/src/lead/progress.rs
@@ -75,7 +75,7 @@
 }
 
 fn stands_still(state: &State, now: Millis, run: RunName, progress: Progress) -> bool {
-    let Some(step) = state.job(run.task.job).and_then(|job| job.step(run.task)) else {
+    let Some(step) = state.step(run.task) else {
         return false;
     };
     let span = now.since(progress.since);
--- a/crates/pond-job/src/state/mod.rs
+++ b/crates/pond-job/src/state/mod.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use pond_proto::Millis;
-use pond_proto::job::{Phase, RunName, Spec, Step};
+use pond_proto::job::{Phase, RunName, Spec, Step, TaskName};
 use serde::{Deserialize, Serialize};
 
 use crate::change::{Change, Reply};
@@ -47,6 +47,11 @@
         self.jobs.get(&id)
     }
 
+    /// The step of a task.
+    pub fn step(&self, task: TaskName) -> Option<&Step> {
+        self.job(task.job)?.step(task)
+    }
+
     /// Jobs that have not ended, or of which something still runs.
     pub fn active(&self) -> impl Iterator<Item = (u64, &Job)> + '_ {
         self.active.iter().filter_map(|id| Some((*id, self.jobs.get(id)?)))
