One function makes a candidate of a worker

What was hard to read: candidates() was forty lines, set the field more twice and built a long literal in the middle of the loop. Change: Candidate::new gives an empty worker, candidate() takes what is placed there. Behaviour is the same: the same runs are taken in the same order, and health is asked with the same count.

--- a/crates/pond-job/src/lead/candidate.rs
+++ b/crates/pond-job/src/lead/candidate.rs
@@ -9,6 +9,7 @@
 
 use super::filler;
 use super::harm::{Filler, Harm, Served};
+use super::worker::Worker;
 
 /// A serving task uses about this share of the processors that it asks for, in percent: it asks for
 /// its peak. Filling tasks get the rest.
@@ -58,6 +59,26 @@
 }
 
 impl Candidate {
+    /// A worker on which nothing runs, and that is sound.
+    pub fn new(life: &str, worker: &Worker) -> Candidate {
+        Candidate {
+            life: life.to_owned(),
+            agent: worker.agent.clone(),
+            pool: worker.pool.clone(),
+            labels: worker.labels.clone(),
+            processors: worker.room.milli_cpu,
+            free: worker.room,
+            kept: Size::default(),
+            passing: Size::default(),
+            idle: i64::from(worker.room.milli_cpu),
+            served: Vec::new(),
+            fillers: Vec::new(),
+            more: usize::MAX,
+            resting: false,
+            steps: BTreeMap::new(),
+        }
+    }
+
     /// A run for it.
     pub fn start(&self, run: RunName) -> Start {
         Start { run, worker: self.life.clone(), agent: self.agent.clone() }
--- a/crates/pond-job/src/lead/plan.rs
+++ b/crates/pond-job/src/lead/plan.rs
@@ -1,12 +1,11 @@
 //! Places tasks whose turn has come.
 
-use std::collections::BTreeMap;
-
 use pond_proto::job::{RunName, Step, TaskName};
-use pond_proto::{Millis, Size, Span};
+use pond_proto::{Millis, Span};
 
 use super::candidate::Candidate;
 use super::ready::{Ready, ready};
+use super::worker::Worker;
 use super::{Leader, Output, PROPOSE_AGAIN_MS};
 use crate::change::{Change, Start};
 use crate::state::State;
@@ -43,48 +42,30 @@
         }
     }
 
+    /// The workers that may be given something, with what they have room for.
     fn candidates(&self, state: &State, now: Millis) -> Vec<Candidate> {
-        let sound = |worker: &super::Worker| {
+        let sound = |worker: &Worker| {
             let fresh = now.since(worker.heard) <= FRESH_MS;
             worker.link.is_some() && !worker.draining && worker.answers && fresh
         };
-        let mut candidates = Vec::new();
-        for (life, worker) in self.workers.iter().filter(|(_, worker)| sound(worker)) {
-            let runs: Vec<RunName> = state.placed(life).collect();
-            let health = self.health.get(&worker.agent);
-            let passes = |run: &&RunName| {
-                let step = state.step(run.task);
-                step.is_some_and(|step| !step.lasting)
-            };
-            let passing = runs.iter().filter(passes).count();
-            let more = health.map_or(usize::MAX, |health| health.allowed(now, passing));
-            let resting = health.is_some_and(|health| health.resting(now));
-            let mut candidate = Candidate {
-                life: life.clone(),
-                agent: worker.agent.clone(),
-                pool: worker.pool.clone(),
-                labels: worker.labels.clone(),
-                processors: worker.room.milli_cpu,
-                free: worker.room,
-                kept: Size::default(),
-                passing: Size::default(),
-                idle: i64::from(worker.room.milli_cpu),
-                served: Vec::new(),
-                fillers: Vec::new(),
-                more: usize::MAX,
-                resting,
-                steps: BTreeMap::new(),
-            };
-            for run in runs {
-                let step = state.step(run.task);
-                if let Some(step) = step {
-                    candidate.take(run.task, step, self.harm.served(now, run, step));
-                }
-            }
-            candidate.more = more;
-            candidates.push(candidate);
+        let sound = self.workers.iter().filter(|(_, worker)| sound(worker));
+        sound.map(|(life, worker)| self.candidate(state, now, life, worker)).collect()
+    }
+
+    /// A worker with what the runs that are placed on it leave.
+    fn candidate(&self, state: &State, now: Millis, life: &str, worker: &Worker) -> Candidate {
+        let placed: Vec<(RunName, &Step)> =
+            state.placed(life).filter_map(|run| Some((run, state.step(run.task)?))).collect();
+        let mut candidate = Candidate::new(life, worker);
+        for (run, step) in &placed {
+            candidate.take(run.task, step, self.harm.served(now, *run, step));
         }
-        candidates
+        let health = self.health.get(&worker.agent);
+        let passing = placed.iter().filter(|(_, step)| !step.lasting).count();
+        // Health counts the runs there itself, so this comes after they were taken.
+        candidate.more = health.map_or(usize::MAX, |health| health.allowed(now, passing));
+        candidate.resting = health.is_some_and(|health| health.resting(now));
+        candidate
     }
 
     fn place(
