What a filling task is, and what it adds, stands once beside the model

What was hard to read: the filler of a step was made in order.rs and reached other modules by way of mod.rs; pressures in thousandths were made in two places; coefficient times share was written out twice. Change: Filler::of, permille and Harm::added_to in harm.rs. Behaviour is the same: the same products, summed in the same order.

--- a/crates/pond-job/src/lead/candidate.rs
+++ b/crates/pond-job/src/lead/candidate.rs
@@ -7,7 +7,6 @@
 
 use crate::change::Start;
 
-use super::filler;
 use super::harm::{Filler, Harm, Served};
 use super::worker::Worker;
 
@@ -92,7 +91,7 @@
         }
         self.idle -= used(step);
         self.serve(served);
-        self.fillers.extend(filler(step, self.processors));
+        self.fillers.extend(Filler::of(step, self.processors));
         if !step.lasting {
             self.more = self.more.saturating_sub(1);
         }
@@ -144,7 +143,8 @@
         if let Some(served) = served {
             return (near, self.suits(served, harm), -self.idle);
         }
-        if let Some(filler) = filler(step, self.processors).filter(|_| !self.served.is_empty()) {
+        if let Some(filler) = Filler::of(step, self.processors).filter(|_| !self.served.is_empty())
+        {
             let added = harm.added(&self.served, &filler);
             return (near, -hundredths(added), self.idle);
         }
@@ -165,7 +165,8 @@
 
     /// Whether the serving tasks here would keep their targets beside one more filling task.
     pub fn bears(&self, step: &Step, harm: &Harm) -> bool {
-        let Some(filler) = filler(step, self.processors).filter(|_| !self.served.is_empty()) else {
+        let Some(filler) = Filler::of(step, self.processors).filter(|_| !self.served.is_empty())
+        else {
             return true;
         };
         harm.bearable(&self.served, &self.fillers, &filler)
--- a/crates/pond-job/src/lead/evict.rs
+++ b/crates/pond-job/src/lead/evict.rs
@@ -4,8 +4,7 @@
 use pond_proto::fleet::Report;
 use pond_proto::job::RunName;
 
-use super::harm::{Filler, Served};
-use super::order::filler;
+use super::harm::{Filler, Served, permille};
 use super::{Decision, Leader, Output};
 use crate::state::State;
 
@@ -44,7 +43,7 @@
         for row in &report.runs {
             let Some(step) = state.step(row.run.task) else { continue };
             served.extend(self.harm.served(now, row.run, step).filter(|_| row.percent == 100));
-            let filler = filler(step, report.milli_cpu);
+            let filler = Filler::of(step, report.milli_cpu);
             if let Some(filler) = filler.filter(|_| !self.unwanted.contains(&row.run)) {
                 runs.push(row.run);
                 fillers.push(filler);
@@ -53,8 +52,3 @@
         (served, runs, fillers)
     }
 }
-
-/// In thousandths, zero for none.
-fn permille(share: f64) -> u32 {
-    (share * 1_000.0) as u32
-}
--- a/crates/pond-job/src/lead/harm.rs
+++ b/crates/pond-job/src/lead/harm.rs
@@ -65,6 +65,14 @@
     pub share: f64,
 }
 
+impl Filler {
+    /// A filling task on a worker with so many thousandths of processors; none for other tasks.
+    pub fn of(step: &Step, processors: u32) -> Option<Filler> {
+        let (image, share) = (step.image.clone(), share(step.milli_cpu, processors));
+        step.fills.then_some(Filler { image, share })
+    }
+}
+
 impl Harm {
     /// Learns from the figures of a report.
     pub fn learn(&mut self, state: &State, now: Millis, report: &Report) {
@@ -135,10 +143,8 @@
     /// worst of them; negative while they keep their targets.
     pub fn excess(&self, served: &[Served], fillers: &[Filler]) -> f64 {
         let excess = |served: &Served| {
-            let added =
-                |filler: &Filler| self.coefficient(&served.image, &filler.image) * filler.share;
-            let pressure = served.load + fillers.iter().map(added).sum::<f64>();
-            pressure - self.allowed(served)
+            let added = fillers.iter().map(|filler| self.added_to(served, filler)).sum::<f64>();
+            served.load + added - self.allowed(served)
         };
         served.iter().map(excess).fold(f64::NEG_INFINITY, f64::max)
     }
@@ -155,10 +161,14 @@
         model.map_or(TUNING.mean, |model| model.added.coefficient(filler))
     }
 
+    /// How much one filling task adds to the pressure on one serving task.
+    fn added_to(&self, served: &Served, filler: &Filler) -> f64 {
+        self.coefficient(&served.image, &filler.image) * filler.share
+    }
+
     /// How much one filling task adds to the pressure on serving ones, the worst of them.
     pub fn added(&self, served: &[Served], filler: &Filler) -> f64 {
-        let added = |served: &Served| self.coefficient(&served.image, &filler.image) * filler.share;
-        served.iter().map(added).fold(0.0, f64::max)
+        served.iter().map(|served| self.added_to(served, filler)).fold(0.0, f64::max)
     }
 
     /// Whether serving tasks bear one more filling task beside those that are there.
@@ -201,6 +211,11 @@
 }
 
 /// The share of a worker's processors that so many thousandths of one are.
-pub(super) fn share(milli_cpu: u32, of: u32) -> f64 {
+fn share(milli_cpu: u32, of: u32) -> f64 {
     f64::from(milli_cpu) / f64::from(of.max(1))
 }
+
+/// A pressure in whole thousandths, zero for a negative one.
+pub(super) fn permille(pressure: f64) -> u32 {
+    (pressure * 1_000.0) as u32
+}
--- a/crates/pond-job/src/lead/mod.rs
+++ b/crates/pond-job/src/lead/mod.rs
@@ -33,7 +33,6 @@
 use advice::Adviser;
 use harm::Harm;
 use health::Health;
-use order::filler;
 use worker::Worker;
 
 pub use advice::{Permit, Question, StepName};
--- a/crates/pond-job/src/lead/order.rs
+++ b/crates/pond-job/src/lead/order.rs
@@ -7,7 +7,7 @@
 use pond_proto::job::{RunName, Step};
 
 use super::advice::Adviser;
-use super::harm::{Filler, Served, share};
+use super::harm::{Filler, Served, permille};
 use super::worker::Worker;
 use super::{Leader, Output};
 use crate::state::State;
@@ -56,13 +56,14 @@
             steps.iter().filter_map(|(run, step)| self.harm.served(now, *run, step)).collect();
         let mut watches = Vec::new();
         for (run, step) in steps {
-            let blame = filler(step, room).map_or(0.0, |filler| self.harm.added(&served, &filler));
+            let filler = Filler::of(step, room);
+            let blame = filler.map_or(0.0, |filler| self.harm.added(&served, &filler));
             watches.push(Watch {
                 run,
                 tail_target_ms: step.tail_target_ms,
                 fills: step.fills,
                 image: step.image.clone(),
-                blame_permille: (blame * 1_000.0) as u32,
+                blame_permille: permille(blame),
             });
         }
         watches
@@ -144,13 +145,6 @@
     watches
 }
 
-/// A filling task as the harm model knows it, none for other tasks,
-/// on a worker with so many thousandths of processors.
-pub(super) fn filler(step: &Step, room: u32) -> Option<Filler> {
-    let (image, share) = (step.image.clone(), share(step.milli_cpu, room));
-    step.fills.then_some(Filler { image, share })
-}
-
 /// Whether an agent should be told anew how to watch a run.
 fn changed(told: &Watch, watch: &Watch) -> bool {
     told.blame_permille.abs_diff(watch.blame_permille) >= BLAME_STEP_PERMILLE
