Groups that are ready carry their step and tasks

What was hard to read: placing looked the group's step and tasks up by index in five places, one of them for a case that cannot be; whether a task waits was spelled out six times, twice the other way round; best() mixed what may run where with what is better. Change: Ready::step and Ready::tasks, Task::waits; best() first filters, then compares. Behaviour is the same: a group without a step never placed anything, and candidates are compared in the same order.

--- a/crates/pond-job/src/job.rs
+++ b/crates/pond-job/src/job.rs
@@ -50,6 +50,13 @@
     pub save: String,
 }
 
+impl Task {
+    /// Whether it still needs a worker.
+    pub fn waits(&self) -> bool {
+        !self.done && self.worker.is_none()
+    }
+}
+
 impl Job {
     /// The step of a task.
     pub fn step(&self, task: TaskName) -> Option<&Step> {
--- a/crates/pond-job/src/lead/advice.rs
+++ b/crates/pond-job/src/lead/advice.rs
@@ -181,13 +181,9 @@
         candidates: &[Candidate],
     ) {
         for group in ready {
-            let (Some(advice), Some(step)) =
-                (group.job.advice, group.job.spec.steps.get(group.step))
-            else {
-                continue;
-            };
+            let Some(advice) = group.job.advice else { continue };
             let task = group.task(0);
-            let fits = |candidate: &&Candidate| candidate.fits(&group.job.pool, task, step);
+            let fits = |candidate: &&Candidate| candidate.fits(&group.job.pool, task, group.step);
             let workers = candidates.iter().filter(fits).map(|candidate| candidate.life.clone());
             let question = self.adviser.question(now, task.into(), workers, advice);
             self.outputs.extend(question.map(Output::Advise));
--- a/crates/pond-job/src/lead/plan.rs
+++ b/crates/pond-job/src/lead/plan.rs
@@ -8,6 +8,7 @@
 use super::worker::Worker;
 use super::{Leader, Output, PROPOSE_AGAIN_MS};
 use crate::change::{Change, Start};
+use crate::job::Task;
 use crate::state::State;
 
 /// Starts in one proposal, so that an entry of the log stays small.
@@ -68,6 +69,7 @@
         candidate
     }
 
+    /// Places the tasks of a group that wait, as far as there is room.
     fn place(
         &self,
         now: Millis,
@@ -75,23 +77,21 @@
         candidates: &mut [Candidate],
         starts: &mut Vec<Start>,
     ) {
-        let Some(step) = group.job.spec.steps.get(group.step) else { return };
-        let tasks = &group.job.times[group.time][group.step];
-        if step.gang {
-            self.place_gang(now, group, step, candidates, starts);
+        if group.step.gang {
+            self.place_gang(now, group, candidates, starts);
             return;
         }
-        for (index, task) in tasks.iter().enumerate() {
-            if task.done || task.worker.is_some() || starts.len() >= STARTS {
+        for (index, task) in group.tasks().iter().enumerate() {
+            if !task.waits() || starts.len() >= STARTS {
                 continue;
             }
             let name = group.task(index);
             let Some(found) = self.best(now, group, name, candidates) else {
                 // What has no place for one task has none for the others, as they are equal.
-                keep_room(group, step, index, candidates);
+                keep_room(group, index, candidates);
                 break;
             };
-            candidates[found].take(name, step, group.served.clone());
+            candidates[found].take(name, group.step, group.served.clone());
             let run = RunName { task: name, number: task.run + 1 };
             starts.push(candidates[found].start(run));
         }
@@ -102,12 +102,11 @@
         &self,
         now: Millis,
         group: &Ready<'_>,
-        step: &Step,
         candidates: &mut [Candidate],
         starts: &mut Vec<Start>,
     ) {
-        let tasks = &group.job.times[group.time][group.step];
-        if tasks.iter().any(|task| task.done || task.worker.is_some()) {
+        let tasks = group.tasks();
+        if !tasks.iter().all(Task::waits) {
             return;
         }
         let number = tasks.iter().map(|task| task.run).max().unwrap_or(0) + 1;
@@ -116,7 +115,7 @@
         for index in 0..tasks.len() {
             let name = group.task(index);
             let Some(found) = self.best(now, group, name, &after) else { return };
-            after[found].take(name, step, group.served.clone());
+            after[found].take(name, group.step, group.served.clone());
             let run = RunName { task: name, number };
             placed.push(after[found].start(run));
         }
@@ -124,6 +123,7 @@
         starts.extend(placed);
     }
 
+    /// The place of the best candidate for a task, the first of equals; none if it may run nowhere now.
     fn best(
         &self,
         now: Millis,
@@ -131,23 +131,21 @@
         task: TaskName,
         candidates: &[Candidate],
     ) -> Option<usize> {
-        let step = group.job.spec.steps.get(group.step)?;
-        let advised = group.job.advice.is_some();
+        let permitted = |life: &str| {
+            group.job.advice.is_none() || self.adviser.ticket(now, task.into(), life).is_some()
+        };
+        let may_run = |candidate: &Candidate| {
+            candidate.fits(&group.job.pool, task, group.step)
+                && candidate.bears(group.step, &self.harm)
+                && permitted(&candidate.life)
+        };
+        let avoided = self.avoided.get(&task);
         let mut best = None;
-        for (i, candidate) in candidates.iter().enumerate() {
-            if !candidate.fits(&group.job.pool, task, step) {
-                continue;
-            }
-            if !candidate.bears(step, &self.harm) {
-                continue;
-            }
-            if advised && self.adviser.ticket(now, task.into(), &candidate.life).is_none() {
-                continue;
-            }
-            let avoided = self.avoided.get(&task);
+        for (i, candidate) in candidates.iter().enumerate().filter(|(_, there)| may_run(there)) {
             let avoided = avoided.is_some_and(|avoided| avoided.contains(&candidate.life));
             let sound = candidate.more > 0;
-            let key = (!avoided, sound, candidate.score(step, group.served.as_ref(), &self.harm));
+            let key =
+                (!avoided, sound, candidate.score(group.step, group.served.as_ref(), &self.harm));
             if best.as_ref().is_none_or(|(other, _)| key > *other) {
                 best = Some((key, i));
             }
@@ -158,21 +156,19 @@
 
 /// Keeps room for the tasks of a step from `first` on. Only lasting tasks are worth idle room:
 /// others find some sooner or later, and room that waits is lost.
-fn keep_room(group: &Ready<'_>, step: &Step, first: usize, candidates: &mut [Candidate]) {
-    if !step.lasting {
+fn keep_room(group: &Ready<'_>, first: usize, candidates: &mut [Candidate]) {
+    if !group.step.lasting {
         return;
     }
-    let tasks = &group.job.times[group.time][group.step];
-    for (index, task) in tasks.iter().enumerate().skip(first) {
-        if task.done || task.worker.is_some() {
-            continue;
-        }
+    let waiting = |(_, task): &(usize, &Task)| task.waits();
+    for (index, _) in group.tasks().iter().enumerate().skip(first).filter(waiting) {
         let name = group.task(index);
-        let could = |candidate: &&mut Candidate| candidate.could_keep(&group.job.pool, name, step);
+        let could =
+            |candidate: &&mut Candidate| candidate.could_keep(&group.job.pool, name, group.step);
         let room = |candidate: &&mut Candidate| {
             i64::from(candidate.free.milli_cpu) - i64::from(candidate.kept.milli_cpu)
         };
         let Some(best) = candidates.iter_mut().filter(could).max_by_key(room) else { return };
-        best.keep(name, step);
+        best.keep(name, group.step);
     }
 }
--- a/crates/pond-job/src/lead/ready.rs
+++ b/crates/pond-job/src/lead/ready.rs
@@ -1,7 +1,7 @@
 //! The groups of tasks that wait for a place, in the order in which they get one.
 
 use pond_proto::Millis;
-use pond_proto::job::TaskName;
+use pond_proto::job::{Step, TaskName};
 
 use super::harm::{Harm, Served};
 use crate::job::{Job, Task, longest_chain};
@@ -19,7 +19,9 @@
     /// Which of the job's times, from zero.
     pub time: usize,
     /// Which of its steps, from zero.
-    pub step: usize,
+    pub step_index: usize,
+    /// What the job says of that step.
+    pub step: &'a Step,
     /// The job.
     pub job: &'a Job,
     /// One of its tasks as a serving one; none for other tasks.
@@ -52,13 +54,18 @@
     Worthless,
 }
 
-impl Ready<'_> {
+impl<'a> Ready<'a> {
+    /// All tasks of the group, those that have a place or are done, too.
+    pub fn tasks(&self) -> &'a [Task] {
+        &self.job.times[self.time][self.step_index]
+    }
+
     /// The name of a task of the group.
     pub fn task(&self, index: usize) -> TaskName {
         TaskName {
             job: self.id,
             time: self.time as u32,
-            step: self.step as u32,
+            step: self.step_index as u32,
             index: index as u32,
         }
     }
@@ -77,18 +84,16 @@
             if job.spec.repeat.is_some() && wall < job.due(time) {
                 continue;
             }
-            for (step, tasks) in steps.iter().enumerate() {
-                let waits = tasks.iter().any(|task| !task.done && task.worker.is_none());
-                if waits && job.turn(time, step) {
+            for (step_index, (step, tasks)) in job.spec.steps.iter().zip(steps).enumerate() {
+                if tasks.iter().any(Task::waits) && job.turn(time, step_index) {
                     let urgency = urgency(job, time, wall);
-                    let served =
-                        job.spec.steps.get(step).and_then(|step| harm.newly_served(now, step));
-                    ready.push(Ready { urgency, id, time, step, job, served });
+                    let served = harm.newly_served(now, step);
+                    ready.push(Ready { urgency, id, time, step_index, step, job, served });
                 }
             }
         }
     }
-    ready.sort_by_key(|group| (group.urgency, group.id, group.time, group.step));
+    ready.sort_by_key(|group| (group.urgency, group.id, group.time, group.step_index));
     ready
 }
 
