When the adviser is asked stands apart from what it said

Change: the leader's part is ask.rs, ask_adviser is ask_about_ready. Behaviour is the same: code moved.

--- a/crates/pond-job/src/lead/advice.rs
+++ b/crates/pond-job/src/lead/advice.rs
@@ -1,20 +1,16 @@
-//! Asks an outside adviser which workers may run a step, and keeps its answers.
+//! What an outside adviser says of which workers may run a step.
 //!
 //! Some queues have a policy that only the adviser knows. For each step it names workers that may run it,
 //! with a ticket that the worker wants to see for as long as this life of it lasts. Which workers may
 //! run a step never changes; tickets run out.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::fmt;
 
 use pond_proto::job::{RunName, TaskName};
 use pond_proto::{Millis, Span};
 
-use super::candidate::Candidate;
-use super::ready::Ready;
-use super::{Leader, Output};
 use crate::configuration::Advice;
-use crate::state::State;
 
 /// Workers named in one question. The adviser takes some time for each, and the aim of a job allows for
 /// a question about thirty.
@@ -116,7 +112,7 @@
     }
 
     /// The next question about these workers, if one is due.
-    fn question(
+    pub fn question(
         &mut self,
         now: Millis,
         step: StepName,
@@ -158,54 +154,3 @@
         self.verdicts.retain(|step, _| !ended(step.job));
     }
 }
-
-impl Leader {
-    /// The adviser answered a question, or did not.
-    pub fn advised(&mut self, now: Millis, question: &Question, permits: Option<Vec<Permit>>) {
-        self.adviser.answer(now, question, permits);
-    }
-
-    /// Asks about runs that cannot be ordered for want of a ticket.
-    pub(super) fn ask_about_placed(&mut self, state: &State, now: Millis) {
-        for (step, worker, advice) in self.placed_without_ticket(state, now) {
-            let question = self.adviser.question(now, step, std::iter::once(worker), advice);
-            self.outputs.extend(question.map(Output::Advise));
-        }
-    }
-
-    /// Asks about the most urgent step that waits for a worker.
-    pub(super) fn ask_adviser(
-        &mut self,
-        now: Millis,
-        ready: &[Ready<'_>],
-        candidates: &[Candidate],
-    ) {
-        for group in ready {
-            let Some(advice) = group.job.advice else { continue };
-            let task = group.task(0);
-            let fits = |candidate: &&Candidate| candidate.fits(&group.job.pool, task, group.step);
-            let workers = candidates.iter().filter(fits).map(|candidate| candidate.life.clone());
-            let question = self.adviser.question(now, task.into(), workers, advice);
-            self.outputs.extend(question.map(Output::Advise));
-        }
-    }
-
-    /// Runs that a former leader placed and that could not be ordered yet.
-    fn placed_without_ticket(&self, state: &State, now: Millis) -> Vec<(StepName, String, Advice)> {
-        let mut missing = BTreeSet::new();
-        let mut found = Vec::new();
-        for (life, worker) in &self.workers {
-            for run in state.placed(life).filter(|run| !worker.rows.contains_key(run)) {
-                let Some(advice) = state.job(run.task.job).and_then(|job| job.advice) else {
-                    continue;
-                };
-                let step = StepName::from(run.task);
-                let has = self.adviser.ticket(now, step, life).is_some();
-                if !has && missing.insert((step, life)) {
-                    found.push((step, life.clone(), advice));
-                }
-            }
-        }
-        found
-    }
-}
--- a/crates/pond-job/src/lead/mod.rs
+++ b/crates/pond-job/src/lead/mod.rs
@@ -6,6 +6,7 @@
 //! a time counted from the worker's clock in that report.
 
 mod advice;
+mod ask;
 mod candidate;
 mod ends;
 mod evict;
--- a/crates/pond-job/src/lead/plan.rs
+++ b/crates/pond-job/src/lead/plan.rs
@@ -36,7 +36,7 @@
             }
             self.place(now, group, &mut candidates, &mut starts);
         }
-        self.ask_adviser(now, &ready, &candidates);
+        self.ask_about_ready(now, &ready, &candidates);
         if !starts.is_empty() {
             self.starting = Some(now);
             self.outputs.push(Output::Propose(Change::Start(starts)));
--- a/crates/pond-job/src/lead/ready.rs
+++ b/crates/pond-job/src/lead/ready.rs
@@ -123,8 +123,8 @@
 
 /// The longest chain of estimates through the steps that are not done, in milliseconds.
 fn left_ms(job: &Job, time: usize) -> u64 {
-    let Some(times) = job.times.get(time) else { return 0 };
+    let Some(steps) = job.times.get(time) else { return 0 };
     longest_chain(&job.spec.steps, |step| {
-        times.get(step).is_some_and(|tasks| tasks.iter().any(|task| !task.done))
+        steps.get(step).is_some_and(|tasks| tasks.iter().any(|task| !task.done))
     })
 }
