--- a/crates/pond-job/src/lead/plan.rs
+++ b/crates/pond-job/src/lead/plan.rs
@@ -131,17 +131,17 @@
         task: TaskName,
         candidates: &[Candidate],
     ) -> Option<usize> {
-        let permitted = |life: &str| {
-            group.job.advice.is_none() || self.adviser.ticket(now, task.into(), life).is_some()
-        };
-        let may_run = |candidate: &Candidate| {
+        let advised = group.job.advice.is_some();
+        let fits = |candidate: &Candidate| {
             candidate.fits(&group.job.pool, task, group.step)
                 && candidate.bears(group.step, &self.harm)
-                && permitted(&candidate.life)
         };
         let avoided = self.avoided.get(&task);
         let mut best = None;
-        for (i, candidate) in candidates.iter().enumerate().filter(|(_, there)| may_run(there)) {
+        for (i, candidate) in candidates.iter().enumerate().filter(|(_, there)| fits(there)) {
+            if advised && self.adviser.ticket(now, task.into(), &candidate.life).is_none() {
+                continue;
+            }
             let avoided = avoided.is_some_and(|avoided| avoided.contains(&candidate.life));
             let sound = candidate.more > 0;
             let key =
--- a/crates/pond-job/src/state/runs.rs
+++ b/crates/pond-job/src/state/runs.rs
@@ -21,7 +21,7 @@
             return None;
         }
         let task = job.task_mut(name)?;
-        let free = task.waits();
+        let free = task.worker.is_none() && !task.done;
         if !free || start.run.number <= task.run {
             return None;
         }
