Tests of harm and advice name their types by use

What was hard to read: pond_proto::job::How and support::task stood as full paths in the middle of tests. Change: use lines. Behaviour is the same; no test asserts anything else.

--- a/crates/pond-job/tests/advice.rs
+++ b/crates/pond-job/tests/advice.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use pond_job::{Permit, Question};
-use pond_proto::job::RunName;
+use pond_proto::job::{How, RunName};
 use support::{Bench, step, task};
 
 /// Answers the newest question: these workers may run the step.
@@ -68,7 +68,7 @@
     bench.obey("a");
     bench.pass(4, &["a"]);
     let first: RunName = bench.started("a")[0];
-    bench.end("a", first, pond_proto::job::How::Done);
+    bench.end("a", first, How::Done);
     assert_eq!((bench.asked.len(), bench.started("a").len()), (2, 1));
     allow(&mut bench, &["a"]);
     assert_eq!(bench.started("a").len(), 2);
--- a/crates/pond-job/tests/harm.rs
+++ b/crates/pond-job/tests/harm.rs
@@ -3,8 +3,8 @@
 mod support;
 
 use pond_job::Decision;
-use pond_proto::job::{RunName, Step};
-use support::{Bench, step};
+use pond_proto::job::{How, RunName, Step};
+use support::{Bench, step, task};
 
 /// Serving work that should answer within 18 ms.
 fn serving() -> Step {
@@ -97,7 +97,7 @@
     disturb(&mut bench);
     let run = bench.stopped("a")[0];
     bench.add_vm("b", 32_000);
-    bench.end("a", run, pond_proto::job::How::Stopped);
+    bench.end("a", run, How::Stopped);
     assert_eq!(bench.place_of(run.task).as_deref(), Some("b"));
 }
 
@@ -106,11 +106,11 @@
     let mut bench = beside(&["loud"]);
     disturb(&mut bench);
     let run = bench.stopped("a")[0];
-    bench.end("a", run, pond_proto::job::How::Stopped);
+    bench.end("a", run, How::Stopped);
     show(&mut bench, "a", &[(1, 6)]);
     bench.submit_batch(9, vec![filling("loud")]);
     bench.settle();
-    assert_eq!(bench.place_of(support::task(9, 0, 0)), None);
+    assert_eq!(bench.place_of(task(9, 0, 0)), None);
 }
 
 #[test]
@@ -124,7 +124,7 @@
     bench.submit(3, vec![of("desk")]);
     bench.submit(4, vec![of("till")]);
     bench.settle();
-    let place = |job| bench.place_of(support::task(job, 0, 0));
+    let place = |job| bench.place_of(task(job, 0, 0));
     assert_eq!((place(3), place(4)), (place(2), place(1)));
     assert_ne!(place(1), place(2));
 }
