Harm: what is summed and searched has names

What was hard to read: sums over the inputs of a measurement were written out three times, the search for the worst filling task went through two levels of places in one loop, and a bare 100 stood for a run that is at work. Change: weighted(), correct(), worst() and at_work(). Behaviour is the same: each sum takes the same products in the same order, and of equals the last is found as before.

--- a/crates/pond-job/src/lead/evict.rs
+++ b/crates/pond-job/src/lead/evict.rs
@@ -4,7 +4,7 @@
 use pond_proto::fleet::Report;
 use pond_proto::job::RunName;
 
-use super::harm::{Filler, Served, permille};
+use super::harm::{Filler, Served, at_work, permille};
 use super::{Decision, Leader, Output};
 use crate::state::State;
 
@@ -42,7 +42,7 @@
         let (mut served, mut runs, mut fillers) = (Vec::new(), Vec::new(), Vec::new());
         for row in &report.runs {
             let Some(step) = state.step(row.run.task) else { continue };
-            served.extend(self.harm.served(now, row.run, step).filter(|_| row.percent == 100));
+            served.extend(self.harm.served(now, row.run, step).filter(|_| at_work(row)));
             let filler = Filler::of(step, report.milli_cpu);
             if let Some(filler) = filler.filter(|_| !self.unwanted.contains(&row.run)) {
                 runs.push(row.run);
--- a/crates/pond-job/src/lead/harm.rs
+++ b/crates/pond-job/src/lead/harm.rs
@@ -79,7 +79,7 @@
         let used = self.used_lately(state, report);
         for row in &report.runs {
             let Some(step) = state.step(row.run.task) else { continue };
-            if step.serves() && row.percent == 100 && row.figure > 0 {
+            if step.serves() && at_work(row) && row.figure > 0 {
                 self.learn_one(now, step, row, &used);
             }
         }
@@ -194,15 +194,18 @@
             }
             // Once some must go, those that stay should be as calm as after a placement.
             bound = -MARGIN;
-            let added = |i: &usize| self.added(served, &fillers[*i]);
-            let worst =
-                (0..left.len()).max_by(|a, b| added(&left[*a]).total_cmp(&added(&left[*b])));
-            let Some(worst) = worst.filter(|worst| added(&left[*worst]) > SLIGHT) else {
-                return guilty;
-            };
+            let Some(worst) = self.worst(served, &there) else { return guilty };
             guilty.push(left.remove(worst));
         }
     }
+
+    /// The place of the filling task that adds most, the last of equals; none if all add hardly
+    /// anything.
+    fn worst(&self, served: &[Served], fillers: &[Filler]) -> Option<usize> {
+        let added = fillers.iter().map(|filler| self.added(served, filler)).enumerate();
+        let (worst, most) = added.max_by(|(_, a), (_, b)| a.total_cmp(b))?;
+        (most > SLIGHT).then_some(worst)
+    }
 }
 
 fn served(step: &Step, load: f64) -> Option<Served> {
@@ -210,6 +213,11 @@
     step.serves().then_some(Served { image, target_ms, load })
 }
 
+/// Whether a serving run is at work; until then it answers nobody, so it has no tail to keep.
+pub(super) fn at_work(row: &RunRow) -> bool {
+    row.percent == 100
+}
+
 /// The share of a worker's processors that so many thousandths of one are.
 fn share(milli_cpu: u32, of: u32) -> f64 {
     f64::from(milli_cpu) / f64::from(of.max(1))
--- a/crates/pond-job/src/lead/regression.rs
+++ b/crates/pond-job/src/lead/regression.rs
@@ -74,16 +74,17 @@
         let inputs: Vec<(usize, f64)> =
             amounts.iter().map(|(term, amount)| (self.place(term), *amount)).collect();
         self.grow();
-        let expected: f64 = inputs.iter().map(|(place, amount)| self.means[*place] * amount).sum();
         // Covariance of each coefficient with the measurement.
-        let shared: Vec<f64> = self
-            .spread
-            .iter()
-            .map(|row| inputs.iter().map(|(place, amount)| row[*place] * amount).sum())
-            .collect();
-        let variance: f64 =
-            inputs.iter().map(|(place, amount)| shared[*place] * amount).sum::<f64>() + noise;
-        let error = measured - expected;
+        let shared: Vec<f64> = self.spread.iter().map(|row| weighted(row, &inputs)).collect();
+        let error = measured - weighted(&self.means, &inputs);
+        let variance = weighted(&shared, &inputs) + noise;
+        self.correct(&shared, error, variance);
+        Surprise { error, variance }
+    }
+
+    /// Moves the coefficients by an error with this variance, each as far as it hangs together with the
+    /// measurement.
+    fn correct(&mut self, shared: &[f64], error: f64, variance: f64) {
         for (i, covariance) in shared.iter().enumerate() {
             let gain = covariance / variance;
             // No filling run makes a serving one faster.
@@ -92,10 +93,9 @@
                 self.spread[i][j] -= gain * other;
             }
         }
-        Surprise { error, variance }
     }
 
-    /// Coefficients may have changed since the last measurement, but are never less certain than at first.
+    /// Coefficients may have changed since the last measurement, but never get much less certain than at first.
     fn grow(&mut self) {
         for (i, row) in self.spread.iter_mut().enumerate() {
             if row[i] < self.tuning.variance {
@@ -104,3 +104,8 @@
         }
     }
 }
+
+/// The sum of the values at these places, each times its amount.
+fn weighted(values: &[f64], inputs: &[(usize, f64)]) -> f64 {
+    inputs.iter().map(|(place, amount)| values[*place] * amount).sum()
+}
