Comments are as wide as the code

What was hard to read: comments of up to 121 columns beside code that rustfmt wraps at 100. Change: paragraphs of comments wrapped at 100; words and code are the same.

--- a/crates/pond-job/src/lead/advice.rs
+++ b/crates/pond-job/src/lead/advice.rs
@@ -1,8 +1,8 @@
 //! What an outside adviser says of which workers may run a step.
 //!
-//! Some queues have a policy that only the adviser knows. For each step it names workers that may run it,
-//! with a ticket that the worker wants to see for as long as this life of it lasts. Which workers may
-//! run a step never changes; tickets run out.
+//! Some queues have a policy that only the adviser knows. For each step it names workers that may
+//! run it, with a ticket that the worker wants to see for as long as this life of it lasts. Which
+//! workers may run a step never changes; tickets run out.
 
 use std::collections::BTreeMap;
 use std::fmt;
@@ -12,8 +12,8 @@
 
 use crate::configuration::Advice;
 
-/// Workers named in one question. The adviser takes some time for each, and the aim of a job allows for
-/// a question about thirty.
+/// Workers named in one question. The adviser takes some time for each, and the aim of a job allows
+/// for a question about thirty.
 const NAMED: usize = 30;
 
 /// A question without an answer is asked again after this time, in milliseconds: an adviser that is
--- a/crates/pond-job/src/lead/ask.rs
+++ b/crates/pond-job/src/lead/ask.rs
@@ -26,8 +26,8 @@
         }
     }
 
-    /// Asks about the most urgent step that waits for a worker and of which the adviser can say something
-    /// new; questions about the others come when it has answered.
+    /// Asks about the most urgent step that waits for a worker and of which the adviser can say
+    /// something new; questions about the others come when it has answered.
     pub(super) fn ask_about_ready(
         &mut self,
         now: Millis,
@@ -44,8 +44,8 @@
         }
     }
 
-    /// Steps and workers of runs that are placed and cannot be ordered: a former leader had asked about
-    /// them, or the ticket has run out.
+    /// Steps and workers of runs that are placed and cannot be ordered: a former leader had asked
+    /// about them, or the ticket has run out.
     fn placed_without_ticket(&self, state: &State, now: Millis) -> Vec<(StepName, String, Advice)> {
         let mut missing = BTreeSet::new();
         let mut found = Vec::new();
--- a/crates/pond-job/src/lead/candidate.rs
+++ b/crates/pond-job/src/lead/candidate.rs
@@ -14,8 +14,8 @@
 /// its peak. Filling tasks get the rest.
 const SERVING_USE_PERCENT: i64 = 50;
 
-/// How much it counts that a worker serves already, against one more image there: more than the images
-/// that fit on one worker.
+/// How much it counts that a worker serves already, against one more image there: more than the
+/// images that fit on one worker.
 const TOGETHER: i64 = 30;
 
 /// How much it counts that a worker serves the same image already, against one more image there.
@@ -136,8 +136,8 @@
         *self.steps.entry((task.job, task.time, task.step)).or_default() += 1;
     }
 
-    /// How well a task stands here, as nearness to its data, then what its kind depends on; higher is
-    /// better.
+    /// How well a task stands here, as nearness to its data, then what its kind depends on; higher
+    /// is better.
     pub fn score(&self, step: &Step, served: Option<&Served>, harm: &Harm) -> (bool, i64, i64) {
         let near = step.data_rack.is_empty() || self.labels.contains(&step.data_rack);
         if let Some(served) = served {
@@ -152,9 +152,9 @@
         (near, room, self.idle)
     }
 
-    /// How well a serving task stands here; higher is better. Serving tasks stand together, away from
-    /// what would disturb them, and with those of their own image: the fewer images a worker serves,
-    /// the more filling images disturb none of them.
+    /// How well a serving task stands here; higher is better. Serving tasks stand together, away
+    /// from what would disturb them, and with those of their own image: the fewer images a worker
+    /// serves, the more filling images disturb none of them.
     fn suits(&self, served: &Served, harm: &Harm) -> i64 {
         let disturbed = harm.excess(std::slice::from_ref(served), &self.fillers).max(0.0);
         let together = i64::from(!self.served.is_empty());
--- a/crates/pond-job/src/lead/evict.rs
+++ b/crates/pond-job/src/lead/evict.rs
@@ -9,8 +9,8 @@
 use crate::state::State;
 
 impl Leader {
-    /// Stops the filling runs that are why a serving run beside them will miss its target, so that they
-    /// go on elsewhere. To slow them down would cost them more: a stopped run keeps its save.
+    /// Stops the filling runs that are why a serving run beside them will miss its target, so that
+    /// they go on elsewhere. To slow them down would cost them more: a stopped run keeps its save.
     pub(super) fn evict(&mut self, state: &State, now: Millis, life: &str, report: &Report) {
         let (served, runs, fillers) = self.beside(state, now, report);
         let guilty = self.harm.guilty(&served, &fillers);
--- a/crates/pond-job/src/lead/harm.rs
+++ b/crates/pond-job/src/lead/harm.rs
@@ -139,8 +139,8 @@
         served(step, Load::new(now).at(now).0)
     }
 
-    /// By how much the pressure on serving tasks is expected to exceed what their targets allow, the
-    /// worst of them; negative while they keep their targets.
+    /// By how much the pressure on serving tasks is expected to exceed what their targets allow,
+    /// the worst of them; negative while they keep their targets.
     pub fn excess(&self, served: &[Served], fillers: &[Filler]) -> f64 {
         let excess = |served: &Served| {
             let added = fillers.iter().map(|filler| self.added_to(served, filler)).sum::<f64>();
@@ -155,7 +155,8 @@
         scale.unwrap_or(Scale::new(served.target_ms)).pressure(served.target_ms)
     }
 
-    /// What a filling image adds to the pressure on a serving one, over shares of the worker's processors.
+    /// What a filling image adds to the pressure on a serving one, over shares of the worker's
+    /// processors.
     fn coefficient(&self, served: &str, filler: &str) -> f64 {
         let model = self.models.get(served);
         model.map_or(TUNING.mean, |model| model.added.coefficient(filler))
@@ -181,8 +182,8 @@
         self.excess(served, &all) <= -MARGIN
     }
 
-    /// Which filling tasks must go so that the serving ones keep their targets, none if they do; the
-    /// most harmful first, and no more than needed.
+    /// Which filling tasks must go so that the serving ones keep their targets, none if they do;
+    /// the most harmful first, and no more than needed.
     pub fn guilty(&self, served: &[Served], fillers: &[Filler]) -> Vec<usize> {
         let mut left: Vec<usize> = (0..fillers.len()).collect();
         let mut guilty = Vec::new();
--- a/crates/pond-job/src/lead/mod.rs
+++ b/crates/pond-job/src/lead/mod.rs
@@ -206,8 +206,8 @@
         });
     }
 
-    /// Drops the jobs whose phase has been kept long enough, and what was learned of runs and lives that
-    /// are over.
+    /// Drops the jobs whose phase has been kept long enough, and what was learned of runs and lives
+    /// that are over.
     fn forget_old(&mut self, state: &State, now: Millis) {
         if self.ended.is_empty() {
             // What ended before this replica led is counted from now.
--- a/crates/pond-job/src/lead/plan.rs
+++ b/crates/pond-job/src/lead/plan.rs
@@ -123,7 +123,8 @@
         starts.extend(placed);
     }
 
-    /// The place of the best candidate for a task, the first of equals; none if it may run nowhere now.
+    /// The place of the best candidate for a task, the first of equals; none if it may run nowhere
+    /// now.
     fn best(
         &self,
         now: Millis,
--- a/crates/pond-job/src/lead/pressure.rs
+++ b/crates/pond-job/src/lead/pressure.rs
@@ -1,10 +1,12 @@
-//! How the tail of a serving task's answer times hangs together with how hard its worker is pressed.
+//! How the tail of a serving task's answer times hangs together with how hard its worker is
+//! pressed.
 //!
-//! Tails grow like those of a queue: a task whose share of spare time is `1 - pressure` answers that
-//! much slower than on an idle worker. So tails say little while there is spare time and shoot up when
-//! there is hardly any left, but pressures add up: the task's own load and a part from each filling
-//! run beside it. (On a day's reports of both trial sites, tails of one pair of images went from 14 to
-//! 233 ms with the filling share from 0.14 to 0.20; over pressures the same figures lie on a line.)
+//! Tails grow like those of a queue: a task whose share of spare time is `1 - pressure` answers
+//! that much slower than on an idle worker. So tails say little while there is spare time and shoot
+//! up when there is hardly any left, but pressures add up: the task's own load and a part from each
+//! filling run beside it. (On a day's reports of both trial sites, tails of one pair of images went
+//! from 14 to 233 ms with the filling share from 0.14 to 0.20; over pressures the same figures lie
+//! on a line.)
 
 /// Pressures above this cannot be told apart by tails.
 pub const SATURATED: f64 = 0.95;
@@ -16,8 +18,8 @@
 /// Even the shortest tail seen was under some load of the task itself: this is the spare time then.
 const LEAST_LOADED_SPARE: f64 = 0.8;
 
-/// Tails are rough: this is the deviation as a share of them, and at least half of the unit that they
-/// are told in.
+/// Tails are rough: this is the deviation as a share of them, and at least half of the unit that
+/// they are told in.
 const ROUGH_SHARE: f64 = 0.08;
 
 /// Least deviation of a tail in milliseconds, which are whole.
--- a/crates/pond-job/src/lead/regression.rs
+++ b/crates/pond-job/src/lead/regression.rs
@@ -82,8 +82,8 @@
         Surprise { error, variance }
     }
 
-    /// Moves the coefficients by an error with this variance, each as far as it hangs together with the
-    /// measurement.
+    /// Moves the coefficients by an error with this variance, each as far as it hangs together with
+    /// the measurement.
     fn correct(&mut self, shared: &[f64], error: f64, variance: f64) {
         for (i, covariance) in shared.iter().enumerate() {
             let gain = covariance / variance;
@@ -95,7 +95,8 @@
         }
     }
 
-    /// Coefficients may have changed since the last measurement, but never get much less certain than at first.
+    /// Coefficients may have changed since the last measurement, but never get much less certain
+    /// than at first.
     fn grow(&mut self) {
         for (i, row) in self.spread.iter_mut().enumerate() {
             if row[i] < self.tuning.variance {
--- a/crates/pond-proto/src/fleet.rs
+++ b/crates/pond-proto/src/fleet.rs
@@ -228,7 +228,8 @@
     /// How the agent should watch it.
     #[prost(message, required, tag = "4")]
     pub watch: Watch,
-    /// What the worker wants to see before it runs a step that an adviser must allow; empty for none.
+    /// What the worker wants to see before it runs a step that an adviser must allow; empty for
+    /// none.
     #[prost(string, tag = "5")]
     pub ticket: String,
 }
