Serving and filling tasks stand beside the model that judges them

What was hard to read: harm.rs held the model, the two kinds of tasks that other modules use too, and small conversions. Change: beside.rs with Served, Filler and the conversions; Served::of like Filler::of. Behaviour is the same: code moved.

--- a/crates/pond-job/src/lead/candidate.rs
+++ b/crates/pond-job/src/lead/candidate.rs
@@ -7,7 +7,8 @@
 
 use crate::change::Start;
 
-use super::harm::{Filler, Harm, Served};
+use super::beside::{Filler, Served};
+use super::harm::Harm;
 use super::worker::Worker;
 
 /// A serving task uses about this share of the processors that it asks for, in percent: it asks for
--- a/crates/pond-job/src/lead/evict.rs
+++ b/crates/pond-job/src/lead/evict.rs
@@ -4,7 +4,7 @@
 use pond_proto::fleet::Report;
 use pond_proto::job::RunName;
 
-use super::harm::{Filler, Served, at_work, permille};
+use super::beside::{Filler, Served, at_work, permille};
 use super::{Decision, Leader, Output};
 use crate::state::State;
 
--- a/crates/pond-job/src/lead/harm.rs
+++ b/crates/pond-job/src/lead/harm.rs
@@ -6,6 +6,7 @@
 use pond_proto::fleet::{Report, RunRow};
 use pond_proto::job::{RunName, Step};
 
+use super::beside::{Filler, Served, at_work, share};
 use super::load::Load;
 use super::pressure::{SATURATED, Scale};
 use super::regression::{Regression, Tuning};
@@ -45,34 +46,6 @@
     added: Regression,
 }
 
-/// Serving tasks of one image on a worker.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Served {
-    /// Their image.
-    pub image: String,
-    /// Their target, in milliseconds.
-    pub target_ms: u32,
-    /// The highest load among them, as a pressure.
-    pub load: f64,
-}
-
-/// A filling task on a worker.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Filler {
-    /// Its image.
-    pub image: String,
-    /// The share of the worker's processors that it uses at full pace.
-    pub share: f64,
-}
-
-impl Filler {
-    /// A filling task on a worker with so many thousandths of processors; none for other tasks.
-    pub fn of(step: &Step, processors: u32) -> Option<Filler> {
-        let (image, share) = (step.image.clone(), share(step.milli_cpu, processors));
-        step.fills.then_some(Filler { image, share })
-    }
-}
-
 impl Harm {
     /// Learns from the figures of a report.
     pub fn learn(&mut self, state: &State, now: Millis, report: &Report) {
@@ -131,12 +104,12 @@
     /// A serving run as it is expected to be now; none for other runs.
     pub fn served(&self, now: Millis, run: RunName, step: &Step) -> Option<Served> {
         let load = self.loads.get(&run).copied().unwrap_or(Load::new(now));
-        served(step, load.at(now).0)
+        Served::of(step, load.at(now).0)
     }
 
     /// A serving task that runs nowhere yet; none for other tasks.
     pub fn newly_served(&self, now: Millis, step: &Step) -> Option<Served> {
-        served(step, Load::new(now).at(now).0)
+        Served::of(step, Load::new(now).at(now).0)
     }
 
     /// By how much the pressure on serving tasks is expected to exceed what their targets allow,
@@ -208,23 +181,3 @@
         (most > SLIGHT).then_some(worst)
     }
 }
-
-fn served(step: &Step, load: f64) -> Option<Served> {
-    let (image, target_ms) = (step.image.clone(), step.tail_target_ms);
-    step.serves().then_some(Served { image, target_ms, load })
-}
-
-/// Whether a serving run is at work; until then it answers nobody, so it has no tail to keep.
-pub(super) fn at_work(row: &RunRow) -> bool {
-    row.percent == 100
-}
-
-/// The share of a worker's processors that so many thousandths of one are.
-fn share(milli_cpu: u32, of: u32) -> f64 {
-    f64::from(milli_cpu) / f64::from(of.max(1))
-}
-
-/// A pressure in whole thousandths, zero for a negative one.
-pub(super) fn permille(pressure: f64) -> u32 {
-    (pressure * 1_000.0) as u32
-}
--- a/crates/pond-job/src/lead/mod.rs
+++ b/crates/pond-job/src/lead/mod.rs
@@ -7,6 +7,7 @@
 
 mod advice;
 mod ask;
+mod beside;
 mod candidate;
 mod ends;
 mod evict;
--- a/crates/pond-job/src/lead/order.rs
+++ b/crates/pond-job/src/lead/order.rs
@@ -7,7 +7,7 @@
 use pond_proto::job::{RunName, Step};
 
 use super::advice::Adviser;
-use super::harm::{Filler, Served, permille};
+use super::beside::{Filler, Served, permille};
 use super::worker::Worker;
 use super::{Leader, Output};
 use crate::state::State;
--- a/crates/pond-job/src/lead/ready.rs
+++ b/crates/pond-job/src/lead/ready.rs
@@ -3,7 +3,8 @@
 use pond_proto::Millis;
 use pond_proto::job::{Step, TaskName};
 
-use super::harm::{Harm, Served};
+use super::beside::Served;
+use super::harm::Harm;
 use crate::job::{Job, Task, longest_chain};
 use crate::state::State;
 
