A candidate names steps by their type and its disturbers once

What was hard to read: steps were keyed by a triple of numbers though StepName says the same; the same filter stood in score() and bears(); take() asked twice whether a step lasts; the comment of served did not say whose target is kept. Change: StepName as key, disturber(), one question in take(). Behaviour is the same: the same keys and the same values.

--- a/crates/pond-job/src/lead/candidate.rs
+++ b/crates/pond-job/src/lead/candidate.rs
@@ -7,6 +7,7 @@
 
 use crate::change::Start;
 
+use super::advice::StepName;
 use super::beside::{Filler, Served};
 use super::harm::Harm;
 use super::worker::Worker;
@@ -46,7 +47,7 @@
     pub passing: Size,
     /// Processors that nothing uses, filling tasks counted, in thousandths.
     pub idle: i64,
-    /// Serving tasks there, one for each image: that of the highest load.
+    /// Serving tasks there, one entry for each image: the target of the first, the highest load.
     pub served: Vec<Served>,
     /// Filling tasks there.
     pub fillers: Vec<Filler>,
@@ -55,7 +56,7 @@
     /// It gets nothing at all.
     pub resting: bool,
     /// How many tasks of each time and step of a job it has.
-    pub steps: BTreeMap<(u64, u32, u32), u32>,
+    pub steps: BTreeMap<StepName, u32>,
 }
 
 impl Candidate {
@@ -87,16 +88,14 @@
     /// Gives it a task.
     pub fn take(&mut self, task: TaskName, step: &Step, served: Option<Served>) {
         self.free = minus(self.free, step.size());
-        if !step.lasting {
-            self.passing = self.passing.plus(step.size());
-        }
         self.idle -= used(step);
         self.serve(served);
         self.fillers.extend(Filler::of(step, self.processors));
         if !step.lasting {
+            self.passing = self.passing.plus(step.size());
             self.more = self.more.saturating_sub(1);
         }
-        *self.steps.entry((task.job, task.time, task.step)).or_default() += 1;
+        *self.steps.entry(task.into()).or_default() += 1;
     }
 
     /// Adds a serving task, the highest load of each image counting.
@@ -119,7 +118,7 @@
 
     /// Whether a task could ever run there.
     fn allows(&self, pool: &str, task: TaskName, step: &Step) -> bool {
-        let held = self.steps.get(&(task.job, task.time, task.step)).copied().unwrap_or(0);
+        let held = self.steps.get(&task.into()).copied().unwrap_or(0);
         let apart = step.most_per_worker == 0 || held < step.most_per_worker;
         let labelled = step.required_label.is_empty() || self.labels.contains(&step.required_label);
         self.pool == pool && apart && labelled
@@ -134,7 +133,7 @@
     /// Keeps room for a task, so that later ones do not take it bit by bit.
     pub fn keep(&mut self, task: TaskName, step: &Step) {
         self.kept = self.kept.plus(step.size());
-        *self.steps.entry((task.job, task.time, task.step)).or_default() += 1;
+        *self.steps.entry(task.into()).or_default() += 1;
     }
 
     /// How well a task stands here, as nearness to its data, then what its kind depends on; higher
@@ -144,8 +143,7 @@
         if let Some(served) = served {
             return (near, self.suits(served, harm), -self.idle);
         }
-        if let Some(filler) = Filler::of(step, self.processors).filter(|_| !self.served.is_empty())
-        {
+        if let Some(filler) = self.disturber(step) {
             let added = harm.added(&self.served, &filler);
             return (near, -hundredths(added), self.idle);
         }
@@ -166,11 +164,13 @@
 
     /// Whether the serving tasks here would keep their targets beside one more filling task.
     pub fn bears(&self, step: &Step, harm: &Harm) -> bool {
-        let Some(filler) = Filler::of(step, self.processors).filter(|_| !self.served.is_empty())
-        else {
-            return true;
-        };
-        harm.bearable(&self.served, &self.fillers, &filler)
+        let filler = self.disturber(step);
+        filler.is_none_or(|filler| harm.bearable(&self.served, &self.fillers, &filler))
+    }
+
+    /// A filling task, if there are serving ones that it could disturb.
+    fn disturber(&self, step: &Step) -> Option<Filler> {
+        Filler::of(step, self.processors).filter(|_| !self.served.is_empty())
     }
 }
 
--- a/crates/pond-job/src/lead/order.rs
+++ b/crates/pond-job/src/lead/order.rs
@@ -150,6 +150,7 @@
     told.blame_permille.abs_diff(watch.blame_permille) >= BLAME_STEP_PERMILLE
 }
 
+/// The order to start a run; none if its job or how to watch it is not known.
 fn start_order(
     state: &State,
     run: RunName,
