--- a/crates/pond-job/src/lead/candidate.rs
+++ b/crates/pond-job/src/lead/candidate.rs
@@ -7,15 +7,17 @@
 
 use crate::change::Start;
 
-use super::filler;
-use super::harm::{Filler, Harm, Served};
+use super::advice::StepName;
+use super::beside::{Filler, Served};
+use super::harm::Harm;
+use super::worker::Worker;
 
 /// A serving task uses about this share of the processors that it asks for, in percent: it asks for
 /// its peak. Filling tasks get the rest.
 const SERVING_USE_PERCENT: i64 = 50;
 
-/// How much it counts that a worker serves already, against one more image there: more than the images
-/// that fit on one worker.
+/// How much it counts that a worker serves already, against one more image there: more than the
+/// images that fit on one worker.
 const TOGETHER: i64 = 30;
 
 /// How much it counts that a worker serves the same image already, against one more image there.
@@ -45,7 +47,7 @@
     pub passing: Size,
     /// Processors that nothing uses, filling tasks counted, in thousandths.
     pub idle: i64,
-    /// Images of serving tasks there.
+    /// Serving tasks there, one entry for each image: the target of the first, the highest load.
     pub served: Vec<Served>,
     /// Filling tasks there.
     pub fillers: Vec<Filler>,
@@ -54,10 +56,30 @@
     /// It gets nothing at all.
     pub resting: bool,
     /// How many tasks of each time and step of a job it has.
-    pub steps: BTreeMap<(u64, u32, u32), u32>,
+    pub steps: BTreeMap<StepName, u32>,
 }
 
 impl Candidate {
+    /// A worker on which nothing runs, and that is sound.
+    pub fn new(life: &str, worker: &Worker) -> Candidate {
+        Candidate {
+            life: life.to_owned(),
+            agent: worker.agent.clone(),
+            pool: worker.pool.clone(),
+            labels: worker.labels.clone(),
+            processors: worker.room.milli_cpu,
+            free: worker.room,
+            kept: Size::default(),
+            passing: Size::default(),
+            idle: i64::from(worker.room.milli_cpu),
+            served: Vec::new(),
+            fillers: Vec::new(),
+            more: usize::MAX,
+            resting: false,
+            steps: BTreeMap::new(),
+        }
+    }
+
     /// A run for it.
     pub fn start(&self, run: RunName) -> Start {
         Start { run, worker: self.life.clone(), agent: self.agent.clone() }
@@ -66,16 +88,14 @@
     /// Gives it a task.
     pub fn take(&mut self, task: TaskName, step: &Step, served: Option<Served>) {
         self.free = minus(self.free, step.size());
-        if !step.lasting {
-            self.passing = self.passing.plus(step.size());
-        }
         self.idle -= used(step);
         self.serve(served);
-        self.fillers.extend(filler(step, self.processors));
+        self.fillers.extend(Filler::of(step, self.processors));
         if !step.lasting {
+            self.passing = self.passing.plus(step.size());
             self.more = self.more.saturating_sub(1);
         }
-        *self.steps.entry((task.job, task.time, task.step)).or_default() += 1;
+        *self.steps.entry(task.into()).or_default() += 1;
     }
 
     /// Adds a serving task, the highest load of each image counting.
@@ -98,7 +118,7 @@
 
     /// Whether a task could ever run there.
     fn allows(&self, pool: &str, task: TaskName, step: &Step) -> bool {
-        let held = self.steps.get(&(task.job, task.time, task.step)).copied().unwrap_or(0);
+        let held = self.steps.get(&task.into()).copied().unwrap_or(0);
         let apart = step.most_per_worker == 0 || held < step.most_per_worker;
         let labelled = step.required_label.is_empty() || self.labels.contains(&step.required_label);
         self.pool == pool && apart && labelled
@@ -113,16 +133,17 @@
     /// Keeps room for a task, so that later ones do not take it bit by bit.
     pub fn keep(&mut self, task: TaskName, step: &Step) {
         self.kept = self.kept.plus(step.size());
-        *self.steps.entry((task.job, task.time, task.step)).or_default() += 1;
+        *self.steps.entry(task.into()).or_default() += 1;
     }
 
-    /// Higher is better.
+    /// How well a task stands here, as nearness to its data, then what its kind depends on; higher
+    /// is better.
     pub fn score(&self, step: &Step, served: Option<&Served>, harm: &Harm) -> (bool, i64, i64) {
         let near = step.data_rack.is_empty() || self.labels.contains(&step.data_rack);
         if let Some(served) = served {
             return (near, self.suits(served, harm), -self.idle);
         }
-        if let Some(filler) = filler(step, self.processors).filter(|_| !self.served.is_empty()) {
+        if let Some(filler) = self.disturber(step) {
             let added = harm.added(&self.served, &filler);
             return (near, -hundredths(added), self.idle);
         }
@@ -130,9 +151,9 @@
         (near, room, self.idle)
     }
 
-    /// How well a serving task stands here; higher is better. Serving tasks stand together, away from
-    /// what would disturb them, and with those of their own image: the fewer images a worker serves,
-    /// the more filling images disturb none of them.
+    /// How well a serving task stands here; higher is better. Serving tasks stand together, away
+    /// from what would disturb them, and with those of their own image: the fewer images a worker
+    /// serves, the more filling images disturb none of them.
     fn suits(&self, served: &Served, harm: &Harm) -> i64 {
         let disturbed = harm.excess(std::slice::from_ref(served), &self.fillers).max(0.0);
         let together = i64::from(!self.served.is_empty());
@@ -143,10 +164,13 @@
 
     /// Whether the serving tasks here would keep their targets beside one more filling task.
     pub fn bears(&self, step: &Step, harm: &Harm) -> bool {
-        let Some(filler) = filler(step, self.processors).filter(|_| !self.served.is_empty()) else {
-            return true;
-        };
-        harm.bearable(&self.served, &self.fillers, &filler)
+        let filler = self.disturber(step);
+        filler.is_none_or(|filler| harm.bearable(&self.served, &self.fillers, &filler))
+    }
+
+    /// A filling task, if there are serving ones that it could disturb.
+    fn disturber(&self, step: &Step) -> Option<Filler> {
+        Filler::of(step, self.processors).filter(|_| !self.served.is_empty())
     }
 }
 
--- a/crates/pond-job/src/lead/evict.rs
+++ b/crates/pond-job/src/lead/evict.rs
@@ -4,19 +4,18 @@
 use pond_proto::fleet::Report;
 use pond_proto::job::RunName;
 
-use super::harm::{Filler, Served};
-use super::order::filler;
+use super::beside::{Filler, Served, at_work, permille};
 use super::{Decision, Leader, Output};
 use crate::state::State;
 
-/// From this part of its work on, in percent, a run is left to end by itself: a move costs it more than it
-/// spares the others. (Mean worth of 24 days without it 0.587 and 0.621, from 70 percent on 0.605 and 0.626,
-/// from 50 on 0.597 and 0.647. If it lasts after all, the agent slows it down.)
+/// From this part of its work on, in percent, a run is left to end by itself: a move costs it more
+/// than it spares the others. If it lasts after all, the agent slows it down. (Mean worth of 24 days
+/// without it 0.587 and 0.621, from 70 percent on 0.605 and 0.626, from 50 on 0.597 and 0.647.)
 const SOON_DONE_PERCENT: u32 = 50;
 
 impl Leader {
-    /// Stops the filling runs that are why a serving run beside them will miss its target, so that they
-    /// go on elsewhere. To slow them down would cost them more: a stopped run keeps its save.
+    /// Stops the filling runs that are why a serving run beside them will miss its target, so that
+    /// they go on elsewhere. To slow them down would cost them more: a stopped run keeps its save.
     pub(super) fn evict(&mut self, state: &State, now: Millis, life: &str, report: &Report) {
         let (served, runs, fillers) = self.beside(state, now, report);
         let guilty = self.harm.guilty(&served, &fillers);
@@ -47,12 +46,9 @@
     ) -> (Vec<Served>, Vec<RunName>, Vec<Filler>) {
         let (mut served, mut runs, mut fillers) = (Vec::new(), Vec::new(), Vec::new());
         for row in &report.runs {
-            let Some(step) = state.job(row.run.task.job).and_then(|job| job.step(row.run.task))
-            else {
-                continue;
-            };
-            served.extend(self.harm.served(now, row.run, step).filter(|_| row.percent == 100));
-            let filler = filler(step, report.milli_cpu);
+            let Some(step) = state.step(row.run.task) else { continue };
+            served.extend(self.harm.served(now, row.run, step).filter(|_| at_work(row)));
+            let filler = Filler::of(step, report.milli_cpu);
             if let Some(filler) = filler.filter(|_| !self.unwanted.contains(&row.run)) {
                 runs.push(row.run);
                 fillers.push(filler);
@@ -66,8 +62,3 @@
 fn soon_done(report: &Report, run: RunName) -> bool {
     report.runs.iter().any(|row| row.run == run && row.percent >= SOON_DONE_PERCENT)
 }
-
-/// In thousandths, zero for none.
-fn permille(share: f64) -> u32 {
-    (share * 1_000.0) as u32
-}
--- a/crates/pond-job/src/lead/harm.rs
+++ b/crates/pond-job/src/lead/harm.rs
@@ -6,6 +6,7 @@
 use pond_proto::fleet::{Report, RunRow};
 use pond_proto::job::{RunName, Step};
 
+use super::beside::{Filler, Served, at_work, share};
 use super::load::Load;
 use super::pressure::{SATURATED, Scale};
 use super::regression::{Regression, Tuning};
@@ -45,33 +46,13 @@
     added: Regression,
 }
 
-/// Serving tasks of one image on a worker.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Served {
-    /// Their image.
-    pub image: String,
-    /// Their target, in milliseconds.
-    pub target_ms: u32,
-    /// The highest load among them, as a pressure.
-    pub load: f64,
-}
-
-/// A filling task on a worker.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Filler {
-    /// Its image.
-    pub image: String,
-    /// The share of the worker's processors that it uses at full pace.
-    pub share: f64,
-}
-
 impl Harm {
     /// Learns from the figures of a report.
     pub fn learn(&mut self, state: &State, now: Millis, report: &Report) {
         let used = self.used_lately(state, report);
         for row in &report.runs {
-            let Some(step) = step_of(state, row) else { continue };
-            if step.serves() && row.percent == 100 && row.figure > 0 {
+            let Some(step) = state.step(row.run.task) else { continue };
+            if step.serves() && at_work(row) && row.figure > 0 {
                 self.learn_one(now, step, row, &used);
             }
         }
@@ -82,7 +63,7 @@
     fn used_lately(&self, state: &State, report: &Report) -> BTreeMap<String, f64> {
         let mut used: BTreeMap<String, f64> = BTreeMap::new();
         for row in report.runs.iter().filter(|row| row.figure > 0) {
-            let Some(step) = step_of(state, row).filter(|step| step.fills) else { continue };
+            let Some(step) = state.step(row.run.task).filter(|step| step.fills) else { continue };
             *used.entry(step.image.clone()).or_default() += share(row.figure, report.milli_cpu);
         }
         for (image, before) in self.used.get(&report.worker).into_iter().flatten() {
@@ -95,6 +76,7 @@
         used
     }
 
+    /// Learns from the tail of one serving run, beside which filling images use these shares.
     fn learn_one(&mut self, now: Millis, step: &Step, row: &RunRow, used: &BTreeMap<String, f64>) {
         let new =
             || Model { scale: Scale::new(step.tail_target_ms), added: Regression::new(TUNING) };
@@ -113,7 +95,7 @@
         load.learn(now, surprise.error, surprise.variance);
     }
 
-    /// Drops what is known of runs that are over.
+    /// Keeps only what is known of the runs and the lives of workers for which these hold.
     pub fn forget(&mut self, runs: impl Fn(RunName) -> bool, lives: impl Fn(&str) -> bool) {
         self.loads.retain(|run, _| runs(*run));
         self.used.retain(|life, _| lives(life));
@@ -122,22 +104,20 @@
     /// A serving run as it is expected to be now; none for other runs.
     pub fn served(&self, now: Millis, run: RunName, step: &Step) -> Option<Served> {
         let load = self.loads.get(&run).copied().unwrap_or(Load::new(now));
-        served(step, load.at(now).0)
+        Served::of(step, load.at(now).0)
     }
 
     /// A serving task that runs nowhere yet; none for other tasks.
     pub fn newly_served(&self, now: Millis, step: &Step) -> Option<Served> {
-        served(step, Load::new(now).at(now).0)
+        Served::of(step, Load::new(now).at(now).0)
     }
 
-    /// By how much the pressure on serving tasks is expected to exceed what their targets allow, the
-    /// worst of them; negative while they keep their targets.
+    /// By how much the pressure on serving tasks is expected to exceed what their targets allow,
+    /// the worst of them; negative while they keep their targets.
     pub fn excess(&self, served: &[Served], fillers: &[Filler]) -> f64 {
         let excess = |served: &Served| {
-            let added =
-                |filler: &Filler| self.coefficient(&served.image, &filler.image) * filler.share;
-            let pressure = served.load + fillers.iter().map(added).sum::<f64>();
-            pressure - self.allowed(served)
+            let added = fillers.iter().map(|filler| self.added_to(served, filler)).sum::<f64>();
+            served.load + added - self.allowed(served)
         };
         served.iter().map(excess).fold(f64::NEG_INFINITY, f64::max)
     }
@@ -148,15 +128,21 @@
         scale.unwrap_or(Scale::new(served.target_ms)).pressure(served.target_ms)
     }
 
+    /// What a filling image adds to the pressure on a serving one, over shares of the worker's
+    /// processors.
     fn coefficient(&self, served: &str, filler: &str) -> f64 {
         let model = self.models.get(served);
         model.map_or(TUNING.mean, |model| model.added.coefficient(filler))
     }
 
+    /// How much one filling task adds to the pressure on one serving task.
+    fn added_to(&self, served: &Served, filler: &Filler) -> f64 {
+        self.coefficient(&served.image, &filler.image) * filler.share
+    }
+
     /// How much one filling task adds to the pressure on serving ones, the worst of them.
     pub fn added(&self, served: &[Served], filler: &Filler) -> f64 {
-        let added = |served: &Served| self.coefficient(&served.image, &filler.image) * filler.share;
-        served.iter().map(added).fold(0.0, f64::max)
+        served.iter().map(|served| self.added_to(served, filler)).fold(0.0, f64::max)
     }
 
     /// Whether serving tasks bear one more filling task beside those that are there.
@@ -169,8 +155,8 @@
         self.excess(served, &all) <= -MARGIN
     }
 
-    /// Which filling tasks must go so that the serving ones keep their targets, none if they do; the
-    /// most harmful first, and no more than needed.
+    /// Which filling tasks must go so that the serving ones keep their targets, none if they do;
+    /// the most harmful first, and no more than needed.
     pub fn guilty(&self, served: &[Served], fillers: &[Filler]) -> Vec<usize> {
         let mut left: Vec<usize> = (0..fillers.len()).collect();
         let mut guilty = Vec::new();
@@ -182,27 +168,16 @@
             }
             // Once some must go, those that stay should be as calm as after a placement.
             bound = -MARGIN;
-            let added = |i: &usize| self.added(served, &fillers[*i]);
-            let worst =
-                (0..left.len()).max_by(|a, b| added(&left[*a]).total_cmp(&added(&left[*b])));
-            let Some(worst) = worst.filter(|worst| added(&left[*worst]) > SLIGHT) else {
-                return guilty;
-            };
+            let Some(worst) = self.worst(served, &there) else { return guilty };
             guilty.push(left.remove(worst));
         }
     }
-}
-
-fn served(step: &Step, load: f64) -> Option<Served> {
-    let (image, target_ms) = (step.image.clone(), step.tail_target_ms);
-    step.serves().then_some(Served { image, target_ms, load })
-}
 
-/// The share of a worker's processors that so many thousandths of one are.
-pub(super) fn share(milli_cpu: u32, of: u32) -> f64 {
-    f64::from(milli_cpu) / f64::from(of.max(1))
-}
-
-fn step_of<'a>(state: &'a State, row: &RunRow) -> Option<&'a Step> {
-    state.job(row.run.task.job)?.step(row.run.task)
+    /// The place of the filling task that adds most, the last of equals; none if all add hardly
+    /// anything.
+    fn worst(&self, served: &[Served], fillers: &[Filler]) -> Option<usize> {
+        let added = fillers.iter().map(|filler| self.added(served, filler)).enumerate();
+        let (worst, most) = added.max_by(|(_, a), (_, b)| a.total_cmp(b))?;
+        (most > SLIGHT).then_some(worst)
+    }
 }
--- a/crates/pond-job/src/lead/mod.rs
+++ b/crates/pond-job/src/lead/mod.rs
@@ -6,6 +6,8 @@
 //! a time counted from the worker's clock in that report.
 
 mod advice;
+mod ask;
+mod beside;
 mod candidate;
 mod ends;
 mod evict;
@@ -33,7 +35,6 @@
 use advice::Adviser;
 use harm::Harm;
 use health::Health;
-use order::filler;
 use worker::Worker;
 
 pub use advice::{Permit, Question, StepName};
@@ -198,7 +199,6 @@
         std::mem::take(&mut self.outputs)
     }
 
-    /// Drops the jobs whose phase has been kept long enough.
     /// Runs that are placed nowhere need no stop.
     fn drop_lost_runs(&mut self, state: &State) {
         self.unwanted.retain(|run| {
@@ -207,6 +207,8 @@
         });
     }
 
+    /// Drops the jobs whose phase has been kept long enough, and what was learned of runs and lives
+    /// that are over.
     fn forget_old(&mut self, state: &State, now: Millis) {
         if self.ended.is_empty() {
             // What ended before this replica led is counted from now.
--- a/crates/pond-job/src/lead/order.rs
+++ b/crates/pond-job/src/lead/order.rs
@@ -7,13 +7,13 @@
 use pond_proto::job::{RunName, Step};
 
 use super::advice::Adviser;
-use super::harm::{Filler, Served, share};
+use super::beside::{Filler, Served, permille};
 use super::worker::Worker;
 use super::{Leader, Output};
 use crate::state::State;
 
-/// Changes of blame below this are not worth a word, in thousandths of the target: a
-/// twentieth, well within the noise of the tails that blame is learned from.
+/// Changes of blame below this are not worth an order, in thousandths of a pressure: a
+/// twentieth, within about two deviations of the pressures that blame is learned from.
 const BLAME_STEP_PERMILLE: u32 = 50;
 
 impl Leader {
@@ -49,22 +49,21 @@
 
     /// How the agent should watch each run of its worker.
     fn watches(&self, state: &State, now: Millis, life: &str) -> Vec<Watch> {
-        let steps: Vec<(RunName, &Step)> = state
-            .placed(life)
-            .filter_map(|run| Some((run, state.job(run.task.job)?.step(run.task)?)))
-            .collect();
+        let steps: Vec<(RunName, &Step)> =
+            state.placed(life).filter_map(|run| Some((run, state.step(run.task)?))).collect();
         let room = self.workers.get(life).map_or(0, |worker| worker.room.milli_cpu);
         let served: Vec<Served> =
             steps.iter().filter_map(|(run, step)| self.harm.served(now, *run, step)).collect();
         let mut watches = Vec::new();
         for (run, step) in steps {
-            let blame = filler(step, room).map_or(0.0, |filler| self.harm.added(&served, &filler));
+            let filler = Filler::of(step, room);
+            let blame = filler.map_or(0.0, |filler| self.harm.added(&served, &filler));
             watches.push(Watch {
                 run,
                 tail_target_ms: step.tail_target_ms,
                 fills: step.fills,
                 image: step.image.clone(),
-                blame_permille: (blame * 1_000.0) as u32,
+                blame_permille: permille(blame),
             });
         }
         watches
@@ -146,18 +145,12 @@
     watches
 }
 
-/// A filling task as the harm model knows it, none for other tasks,
-/// on a worker with so many thousandths of processors.
-pub(super) fn filler(step: &Step, room: u32) -> Option<Filler> {
-    let (image, share) = (step.image.clone(), share(step.milli_cpu, room));
-    step.fills.then_some(Filler { image, share })
-}
-
 /// Whether an agent should be told anew how to watch a run.
 fn changed(told: &Watch, watch: &Watch) -> bool {
     told.blame_permille.abs_diff(watch.blame_permille) >= BLAME_STEP_PERMILLE
 }
 
+/// The order to start a run; none if its job or how to watch it is not known.
 fn start_order(
     state: &State,
     run: RunName,
--- a/crates/pond-job/src/lead/plan.rs
+++ b/crates/pond-job/src/lead/plan.rs
@@ -1,14 +1,14 @@
 //! Places tasks whose turn has come.
 
-use std::collections::BTreeMap;
-
 use pond_proto::job::{RunName, Step, TaskName};
-use pond_proto::{Millis, Size, Span};
+use pond_proto::{Millis, Span};
 
 use super::candidate::Candidate;
 use super::ready::{Ready, ready};
+use super::worker::Worker;
 use super::{Leader, Output, PROPOSE_AGAIN_MS};
 use crate::change::{Change, Start};
+use crate::job::Task;
 use crate::state::State;
 
 /// Starts in one proposal, so that an entry of the log stays small.
@@ -36,57 +36,40 @@
             }
             self.place(now, group, &mut candidates, &mut starts);
         }
-        self.ask_adviser(now, &ready, &candidates);
+        self.ask_about_ready(now, &ready, &candidates);
         if !starts.is_empty() {
             self.starting = Some(now);
             self.outputs.push(Output::Propose(Change::Start(starts)));
         }
     }
 
+    /// The workers that may be given something, with what they have room for.
     fn candidates(&self, state: &State, now: Millis) -> Vec<Candidate> {
-        let sound = |worker: &super::Worker| {
+        let sound = |worker: &Worker| {
             let fresh = now.since(worker.heard) <= FRESH_MS;
             worker.link.is_some() && !worker.draining && worker.answers && fresh
         };
-        let mut candidates = Vec::new();
-        for (life, worker) in self.workers.iter().filter(|(_, worker)| sound(worker)) {
-            let runs: Vec<RunName> = state.placed(life).collect();
-            let health = self.health.get(&worker.agent);
-            let passes = |run: &&RunName| {
-                let step = state.job(run.task.job).and_then(|job| job.step(run.task));
-                step.is_some_and(|step| !step.lasting)
-            };
-            let passing = runs.iter().filter(passes).count();
-            let more = health.map_or(usize::MAX, |health| health.allowed(now, passing));
-            let resting = health.is_some_and(|health| health.resting(now));
-            let mut candidate = Candidate {
-                life: life.clone(),
-                agent: worker.agent.clone(),
-                pool: worker.pool.clone(),
-                labels: worker.labels.clone(),
-                processors: worker.room.milli_cpu,
-                free: worker.room,
-                kept: Size::default(),
-                passing: Size::default(),
-                idle: i64::from(worker.room.milli_cpu),
-                served: Vec::new(),
-                fillers: Vec::new(),
-                more: usize::MAX,
-                resting,
-                steps: BTreeMap::new(),
-            };
-            for run in runs {
-                let step = state.job(run.task.job).and_then(|job| job.step(run.task));
-                if let Some(step) = step {
-                    candidate.take(run.task, step, self.harm.served(now, run, step));
-                }
-            }
-            candidate.more = more;
-            candidates.push(candidate);
+        let sound = self.workers.iter().filter(|(_, worker)| sound(worker));
+        sound.map(|(life, worker)| self.candidate(state, now, life, worker)).collect()
+    }
+
+    /// A worker with what the runs that are placed on it leave.
+    fn candidate(&self, state: &State, now: Millis, life: &str, worker: &Worker) -> Candidate {
+        let placed: Vec<(RunName, &Step)> =
+            state.placed(life).filter_map(|run| Some((run, state.step(run.task)?))).collect();
+        let mut candidate = Candidate::new(life, worker);
+        for (run, step) in &placed {
+            candidate.take(run.task, step, self.harm.served(now, *run, step));
         }
-        candidates
+        let health = self.health.get(&worker.agent);
+        let passing = placed.iter().filter(|(_, step)| !step.lasting).count();
+        // Health counts the runs there itself, so this comes after they were taken.
+        candidate.more = health.map_or(usize::MAX, |health| health.allowed(now, passing));
+        candidate.resting = health.is_some_and(|health| health.resting(now));
+        candidate
     }
 
+    /// Places the tasks of a group that wait, as far as there is room.
     fn place(
         &self,
         now: Millis,
@@ -94,23 +77,21 @@
         candidates: &mut [Candidate],
         starts: &mut Vec<Start>,
     ) {
-        let Some(step) = group.job.spec.steps.get(group.step) else { return };
-        let tasks = &group.job.times[group.time][group.step];
-        if step.gang {
-            self.place_gang(now, group, step, candidates, starts);
+        if group.step.gang {
+            self.place_gang(now, group, candidates, starts);
             return;
         }
-        for (index, task) in tasks.iter().enumerate() {
-            if task.done || task.worker.is_some() || starts.len() >= STARTS {
+        for (index, task) in group.tasks().iter().enumerate() {
+            if !task.waits() || starts.len() >= STARTS {
                 continue;
             }
             let name = group.task(index);
             let Some(found) = self.best(now, group, name, candidates) else {
                 // What has no place for one task has none for the others, as they are equal.
-                keep_room(group, step, index, candidates);
+                keep_room(group, index, candidates);
                 break;
             };
-            candidates[found].take(name, step, group.served.clone());
+            candidates[found].take(name, group.step, group.served.clone());
             let run = RunName { task: name, number: task.run + 1 };
             starts.push(candidates[found].start(run));
         }
@@ -121,12 +102,11 @@
         &self,
         now: Millis,
         group: &Ready<'_>,
-        step: &Step,
         candidates: &mut [Candidate],
         starts: &mut Vec<Start>,
     ) {
-        let tasks = &group.job.times[group.time][group.step];
-        if tasks.iter().any(|task| task.done || task.worker.is_some()) {
+        let tasks = group.tasks();
+        if !tasks.iter().all(Task::waits) {
             return;
         }
         let number = tasks.iter().map(|task| task.run).max().unwrap_or(0) + 1;
@@ -135,7 +115,7 @@
         for index in 0..tasks.len() {
             let name = group.task(index);
             let Some(found) = self.best(now, group, name, &after) else { return };
-            after[found].take(name, step, group.served.clone());
+            after[found].take(name, group.step, group.served.clone());
             let run = RunName { task: name, number };
             placed.push(after[found].start(run));
         }
@@ -143,6 +123,8 @@
         starts.extend(placed);
     }
 
+    /// The place of the best candidate for a task, the first of equals; none if it may run nowhere
+    /// now.
     fn best(
         &self,
         now: Millis,
@@ -150,23 +132,21 @@
         task: TaskName,
         candidates: &[Candidate],
     ) -> Option<usize> {
-        let step = group.job.spec.steps.get(group.step)?;
         let advised = group.job.advice.is_some();
+        let fits = |candidate: &Candidate| {
+            candidate.fits(&group.job.pool, task, group.step)
+                && candidate.bears(group.step, &self.harm)
+        };
+        let avoided = self.avoided.get(&task);
         let mut best = None;
-        for (i, candidate) in candidates.iter().enumerate() {
-            if !candidate.fits(&group.job.pool, task, step) {
-                continue;
-            }
-            if !candidate.bears(step, &self.harm) {
-                continue;
-            }
+        for (i, candidate) in candidates.iter().enumerate().filter(|(_, there)| fits(there)) {
             if advised && self.adviser.ticket(now, task.into(), &candidate.life).is_none() {
                 continue;
             }
-            let avoided = self.avoided.get(&task);
             let avoided = avoided.is_some_and(|avoided| avoided.contains(&candidate.life));
             let sound = candidate.more > 0;
-            let key = (!avoided, sound, candidate.score(step, group.served.as_ref(), &self.harm));
+            let key =
+                (!avoided, sound, candidate.score(group.step, group.served.as_ref(), &self.harm));
             if best.as_ref().is_none_or(|(other, _)| key > *other) {
                 best = Some((key, i));
             }
@@ -177,21 +157,19 @@
 
 /// Keeps room for the tasks of a step from `first` on. Only lasting tasks are worth idle room:
 /// others find some sooner or later, and room that waits is lost.
-fn keep_room(group: &Ready<'_>, step: &Step, first: usize, candidates: &mut [Candidate]) {
-    if !step.lasting {
+fn keep_room(group: &Ready<'_>, first: usize, candidates: &mut [Candidate]) {
+    if !group.step.lasting {
         return;
     }
-    let tasks = &group.job.times[group.time][group.step];
-    for (index, task) in tasks.iter().enumerate().skip(first) {
-        if task.done || task.worker.is_some() {
-            continue;
-        }
+    let waiting = |(_, task): &(usize, &Task)| task.waits();
+    for (index, _) in group.tasks().iter().enumerate().skip(first).filter(waiting) {
         let name = group.task(index);
-        let could = |candidate: &&mut Candidate| candidate.could_keep(&group.job.pool, name, step);
+        let could =
+            |candidate: &&mut Candidate| candidate.could_keep(&group.job.pool, name, group.step);
         let room = |candidate: &&mut Candidate| {
             i64::from(candidate.free.milli_cpu) - i64::from(candidate.kept.milli_cpu)
         };
         let Some(best) = candidates.iter_mut().filter(could).max_by_key(room) else { return };
-        best.keep(name, step);
+        best.keep(name, group.step);
     }
 }
--- a/crates/pond-proto/src/fleet.rs
+++ b/crates/pond-proto/src/fleet.rs
@@ -228,7 +228,8 @@
     /// How the agent should watch it.
     #[prost(message, required, tag = "4")]
     pub watch: Watch,
-    /// What the worker wants to see before it runs a step that an adviser must allow; empty for none.
+    /// What the worker wants to see before it runs a step that an adviser must allow; empty for
+    /// none.
     #[prost(string, tag = "5")]
     pub ticket: String,
 }
@@ -248,8 +249,8 @@
     /// Its image; filling runs of one image are slowed down together.
     #[prost(string, tag = "4")]
     pub image: String,
-    /// How much a filling run adds to the tails of the serving ones beside it, as far as known, in
-    /// thousandths of the target.
+    /// How much a filling run is expected to add to the pressure on the serving ones beside it, the
+    /// worst of them, in thousandths.
     #[prost(uint32, tag = "5")]
     pub blame_permille: u32,
 }
