--- a/crates/pond-job/src/lead/advice.rs
+++ b/crates/pond-job/src/lead/advice.rs
@@ -138,6 +138,10 @@
             self.not_before = now + AGAIN_MS;
             return;
         };
+        if question.advice.valid_ms == 0 {
+            // No ticket is ever good, so each answer would call for the next question at once.
+            self.not_before = now + AGAIN_MS;
+        }
         let valid_ms = question.advice.valid_ms - question.advice.valid_ms / LAST_PART;
         let verdicts = self.verdicts.entry(question.step).or_default();
         for worker in &question.workers {
--- a/crates/pond-job/src/lead/ends.rs
+++ b/crates/pond-job/src/lead/ends.rs
@@ -99,13 +99,20 @@
         }
         worker.proposed = ends.last().map_or(from, |end| end.number);
         worker.proposed_at = now;
-        self.note_ends(now, life, &ends, &unstarted);
+        self.note_ends(state, now, life, &ends, &unstarted);
         let worker = life.to_owned();
         self.outputs.push(Output::Propose(Change::Ended { worker, ends, unstarted }));
     }
 
     /// Learns from ends how sound a worker is.
-    fn note_ends(&mut self, now: Millis, life: &str, ends: &[End], unstarted: &[RunName]) {
+    fn note_ends(
+        &mut self,
+        state: &State,
+        now: Millis,
+        life: &str,
+        ends: &[End],
+        unstarted: &[RunName],
+    ) {
         let Some(agent) = self.workers.get(life).map(|worker| worker.agent.clone()) else { return };
         let health = self.health.entry(agent).or_default();
         for end in ends {
@@ -122,6 +129,10 @@
         for run in unstarted {
             self.unwanted.remove(run);
             self.adviser.refused(*run, life);
+            if state.job(run.task.job).is_some_and(|job| job.advice.is_some()) {
+                // The ticket may have run out on its way, which says nothing about the worker.
+                continue;
+            }
             health.bad(now, run.task.job);
             self.avoided.entry(run.task).or_default().insert(life.to_owned());
         }
--- a/crates/pond-job/tests/advice.rs
+++ b/crates/pond-job/tests/advice.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use pond_job::{Permit, Question};
+use pond_job::{Decision, Permit, Question};
 use pond_proto::job::{How, RunName};
 use support::{Bench, step, task};
 
@@ -96,3 +96,33 @@
     bench.pass(1, &["a"]);
     assert_eq!(tickets(&bench, "a")[1], "ticket of a");
 }
+
+#[test]
+fn ticket_that_a_worker_did_not_take_says_nothing_about_its_health() {
+    let mut bench = Bench::new().with_vm("a", 1_000);
+    for job in 1..4 {
+        bench.submit_advised(job, vec![step(1, 100)]);
+        bench.settle();
+        allow(&mut bench, &["a"]);
+        let run = *bench.started("a").last().unwrap();
+        bench.vms.get_mut("a").unwrap().unstarted = vec![run];
+        bench.report("a");
+        bench.settle();
+        allow(&mut bench, &[]);
+    }
+    let sick = |decision: &Decision| matches!(decision, Decision::Sick { .. });
+    assert!(!bench.decided.iter().any(sick));
+}
+
+#[test]
+fn adviser_whose_tickets_are_never_good_is_not_asked_without_pause() {
+    let mut bench = Bench::new().with_vm("a", 1_000);
+    bench.submit_advised(1, vec![step(1, 100)]);
+    bench.settle();
+    let mut question = bench.asked[0].clone();
+    question.advice.valid_ms = 0;
+    let permit = Permit { worker: "a".to_owned(), ticket: "t".to_owned() };
+    bench.leader.advised(bench.now, &question, Some(vec![permit]));
+    bench.settle();
+    assert_eq!(bench.asked.len(), 1);
+}
