--- a/crates/pond-log/src/events.rs
+++ b/crates/pond-log/src/events.rs
@@ -149,6 +149,7 @@
     RUN_MOVED = 617, Info, "a filling run disturbs serving ones and is moved", "nothing";
     ADVICE_FAILED = 618, Warning, "the adviser did not answer which workers may run a step",
         "look at the adviser; it is asked again";
+    ADVISED = 619, Info, "the adviser said which workers may run a step", "nothing";
 }
 
 /// The catalogue as the page `docs/EVENTS.md`.
