A replica that presents itself before it can be reached is added later

It comes only once a link, so the replica never became a member again: 127.64.84.3 had an empty folder and no configuration a minute later, and one more loss would have been the quorum's. The older check took silence for a good read. Ruled out: a slow catch-up (no learner was ever proposed: no 312 in the leader's log). Change: one that cannot be reached yet waits, and keeps no other waiting. Two tests; the first fails without the change, as forgetting was what happened then.

--- a/crates/pond-replica/src/formation.rs
+++ b/crates/pond-replica/src/formation.rs
@@ -59,18 +59,24 @@
     }
 
     /// The next change of members that a leader should make: one that came back with another disk
-    /// is removed, then added; one that is not a member is added.
-    pub fn replacement(&self, members: &Members) -> Option<Replacement> {
+    /// is removed, then added; one that is not a member is added. One that presented itself before
+    /// this replica could reach it waits until it can.
+    pub fn replacement(
+        &self,
+        members: &Members,
+        reached: impl Fn(&str) -> bool,
+    ) -> Option<Replacement> {
         for present in self.present.values() {
             let new = &present.member;
             if members.get(new.id).is_some() {
                 continue;
             }
             let old = members.list.iter().find(|member| member.address == new.address);
-            return match old {
-                Some(old) => Some(Replacement::Remove(old.clone())),
-                None => Some(Replacement::Add(new.clone())),
-            };
+            match old {
+                Some(old) => return Some(Replacement::Remove(old.clone())),
+                None if reached(&new.address) => return Some(Replacement::Add(new.clone())),
+                None => {}
+            }
         }
         None
     }
--- a/crates/pond-replica/src/lead.rs
+++ b/crates/pond-replica/src/lead.rs
@@ -69,16 +69,16 @@
     }
 
     fn change_members(&mut self, now: Millis) {
-        match self.formation.replacement(self.core.members()) {
+        let reached = |address: &str| self.peers.down_since(address).is_none();
+        match self.formation.replacement(self.core.members(), reached) {
             Some(Replacement::Remove(old)) => {
                 event!(self.log, REPLACED, "replica" => old.address.clone());
                 self.core.step(now, Input::Remove(old.id));
             }
-            Some(Replacement::Add(new)) if self.peers.down_since(&new.address).is_none() => {
+            Some(Replacement::Add(new)) => {
                 event!(self.log, MEMBER_ADDED, "replica" => new.address.clone());
                 self.core.step(now, Input::Add(new));
             }
-            Some(Replacement::Add(new)) => self.formation.forget(&new.address),
             None => self.remove_gone(now),
         }
     }
--- a/crates/pond-replica/tests/formation.rs
+++ b/crates/pond-replica/tests/formation.rs
@@ -73,7 +73,7 @@
     let mut formation = seed(false, true);
     formation.hear(present(4, "d", false));
     let members = Members::new(vec![member(1, "a"), member(2, "b")]);
-    let step = formation.replacement(&members);
+    let step = formation.replacement(&members, |_| true);
     assert_eq!(step, Some(Replacement::Add(member(4, "d"))));
 }
 
@@ -82,9 +82,12 @@
     let mut formation = seed(false, true);
     formation.hear(present(9, "b", false));
     let members = Members::new(vec![member(1, "a"), member(2, "b")]);
-    assert_eq!(formation.replacement(&members), Some(Replacement::Remove(member(2, "b"))));
+    assert_eq!(
+        formation.replacement(&members, |_| true),
+        Some(Replacement::Remove(member(2, "b")))
+    );
     let members = Members::new(vec![member(1, "a")]);
-    assert_eq!(formation.replacement(&members), Some(Replacement::Add(member(9, "b"))));
+    assert_eq!(formation.replacement(&members, |_| true), Some(Replacement::Add(member(9, "b"))));
 }
 
 #[test]
@@ -92,7 +95,7 @@
     let mut formation = seed(false, true);
     formation.hear(present(2, "b", true));
     let members = Members::new(vec![member(1, "a"), member(2, "b")]);
-    assert_eq!(formation.replacement(&members), None);
+    assert_eq!(formation.replacement(&members, |_| true), None);
 }
 
 #[test]
@@ -102,7 +105,7 @@
     formation.hear(present(2, "b", true));
     formation.link_lost("b", 2);
     let members = Members::new(vec![member(1, "a"), member(9, "b")]);
-    assert_eq!(formation.replacement(&members), None);
+    assert_eq!(formation.replacement(&members, |_| true), None);
 }
 
 #[test]
@@ -111,5 +114,25 @@
     formation.hear(present(9, "b", false));
     formation.link_lost("b", 2);
     let members = Members::new(vec![member(1, "a")]);
-    assert_eq!(formation.replacement(&members), Some(Replacement::Add(member(9, "b"))));
+    assert_eq!(formation.replacement(&members, |_| true), Some(Replacement::Add(member(9, "b"))));
+}
+
+#[test]
+fn replica_that_cannot_be_reached_yet_is_added_once_it_can() {
+    let mut formation = seed(false, true);
+    let members = Members::new(vec![member(1, "a"), member(3, "c")]);
+    formation.hear(present(9, "b", false));
+    assert_eq!(formation.replacement(&members, |_| false), None);
+    let added = Some(Replacement::Add(member(9, "b")));
+    assert_eq!(formation.replacement(&members, |_| true), added);
+}
+
+#[test]
+fn replica_that_cannot_be_reached_keeps_no_other_waiting() {
+    let mut formation = seed(false, true);
+    let members = Members::new(vec![member(1, "a"), member(3, "c")]);
+    formation.hear(present(8, "b", false));
+    formation.hear(present(9, "d", false));
+    let added = Some(Replacement::Add(member(9, "d")));
+    assert_eq!(formation.replacement(&members, |address| address == "d"), added);
 }
