A worker whose loss is proposed gets no order until it is in the log

Change: a life whose loss is proposed gets neither starts nor a longer lease until the loss is in the log, and a proposal that is lost on its way is made again even if the worker reports. Tests: two in crates/pond-job/tests/leases.rs, both failed without the change.

--- a/crates/pond-job/src/lead/ends.rs
+++ b/crates/pond-job/src/lead/ends.rs
@@ -11,6 +11,15 @@
 use crate::change::{Change, End};
 use crate::state::State;
 
+/// The loss of a worker that is proposed.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Loss {
+    /// When it was last proposed.
+    at: Millis,
+    /// Whether the life is over; if not, its lease has run out.
+    over: bool,
+}
+
 impl Leader {
     /// An agent has one worker at a time: a new life ends those before it.
     pub(super) fn replace_former_lives(
@@ -52,16 +61,24 @@
         for life in silent {
             self.propose_lost(state, now, &life, false);
         }
+        // Once proposed, a loss must come into the log, though the worker may report again: it gets
+        // no order until then. A proposal that is lost on its way is made again.
+        let proposed: Vec<(String, bool)> =
+            self.losing.iter().map(|(life, loss)| (life.clone(), loss.over)).collect();
+        for (life, over) in proposed {
+            self.propose_lost(state, now, &life, over);
+        }
         self.workers.retain(|_, worker| worker.link.is_some() || now.since(worker.heard) < over);
     }
 
     /// Proposes that nothing of a life runs any more, with the newest saves that it reported.
     fn propose_lost(&mut self, state: &State, now: Millis, life: &str, over: bool) {
-        let tried = self.losing.get(life);
-        if tried.is_some_and(|tried| now.since(*tried) < PROPOSE_AGAIN_MS) {
+        let tried = self.losing.get(life).copied();
+        if tried.is_some_and(|tried| now.since(tried.at) < PROPOSE_AGAIN_MS) {
             return;
         }
-        self.losing.insert(life.to_owned(), now);
+        let over = over || tried.is_some_and(|tried| tried.over);
+        self.losing.insert(life.to_owned(), Loss { at: now, over });
         let worker = self.workers.get(life);
         let clocked = worker.map_or(self.since, |worker| worker.clocked);
         let save = |run: RunName| Some((run, worker?.rows.get(&run)?.save.clone()));
--- a/crates/pond-job/src/lead/mod.rs
+++ b/crates/pond-job/src/lead/mod.rs
@@ -33,6 +33,7 @@
 use crate::state::State;
 
 use advice::Adviser;
+use ends::Loss;
 use harm::Harm;
 use health::Health;
 use worker::Worker;
@@ -65,8 +66,9 @@
     health: BTreeMap<String, Health>,
     /// Start proposals on their way, and when the last was made.
     starting: Option<Millis>,
-    /// Lives whose loss is proposed, and when it last was.
-    losing: BTreeMap<String, Millis>,
+    /// Lives whose loss is proposed. They get no order until it is in the log: a run that starts or
+    /// goes on there would run beside the one that replaces it.
+    losing: BTreeMap<String, Loss>,
     /// Runs that are stopped to run elsewhere.
     unwanted: BTreeSet<RunName>,
     /// Workers on which a run of the task failed or stalled.
@@ -148,6 +150,7 @@
             }
             Change::WorkerLost { worker, .. } => {
                 self.losing.remove(worker);
+                self.dirty.insert(worker.clone());
                 self.drop_lost_runs(state);
             }
             Change::Forget(ids) => self.ended.retain(|id, _| !ids.contains(id)),
--- a/crates/pond-job/src/lead/order.rs
+++ b/crates/pond-job/src/lead/order.rs
@@ -69,8 +69,12 @@
         watches
     }
 
-    /// What the agent of a worker is told now; nothing while there is no link to it.
+    /// What the agent of a worker is told now; nothing while there is no link to it, or while its
+    /// loss is on its way into the log.
     fn order(&mut self, state: &State, now: Millis, life: &str) -> Option<(u64, Order)> {
+        if self.losing.contains_key(life) {
+            return None;
+        }
         let wanted: BTreeMap<RunName, bool> =
             state.placed(life).map(|run| (run, self.wanted(state, run))).collect();
         let watches = self.watches(state, now, life);
--- a/crates/pond-job/tests/leases.rs
+++ b/crates/pond-job/tests/leases.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use pond_job::{Change, Output};
 use support::{Bench, step, task};
 
 fn one_run_on_a() -> Bench {
@@ -63,7 +64,7 @@
     assert!(bench.state.job(1).is_some());
     bench.pass(3, &["a", "b"]);
     assert!(bench.state.job(1).is_none());
-    let forgets = |change: &&pond_job::Change| matches!(change, pond_job::Change::Forget(_));
+    let forgets = |change: &&Change| matches!(change, Change::Forget(_));
     assert_eq!(bench.proposed.iter().filter(forgets).count(), 1);
 }
 
@@ -77,6 +78,37 @@
     let vm = bench.vms.remove("a").unwrap();
     bench.vms.insert("a2".to_owned(), vm);
     bench.report("a2");
-    bench.settle();
+    bench.pass(1, &["a2"]);
     assert_eq!(bench.place_of(task(1, 0, 0)).as_deref(), Some("a2"));
 }
+
+#[test]
+fn worker_whose_loss_is_proposed_gets_no_order_until_it_is_in_the_log() {
+    let mut bench = Bench::new().with_vm("a", 1_000);
+    bench.submit(1, vec![step(1, 500)]);
+    bench.settle();
+    bench.replace_leader();
+    bench.now = bench.now + 6_300;
+    let outputs = bench.leader.tick(&bench.state, bench.now, bench.now, true);
+    let lost = |output: &Output| matches!(output, Output::Propose(Change::WorkerLost { .. }));
+    assert!(outputs.iter().any(lost));
+    bench.report("a");
+    let outputs = bench.leader.tick(&bench.state, bench.now, bench.now, true);
+    assert!(!outputs.iter().any(|output| matches!(output, Output::Order { .. })));
+}
+
+#[test]
+fn loss_that_was_proposed_is_proposed_again_though_the_worker_reports() {
+    let mut bench = Bench::new().with_vm("a", 1_000);
+    bench.submit(1, vec![step(1, 500)]);
+    bench.settle();
+    bench.replace_leader();
+    bench.now = bench.now + 6_300;
+    // The proposal is lost on its way.
+    bench.leader.tick(&bench.state, bench.now, bench.now, true);
+    bench.report("a");
+    bench.pass(4, &["a"]);
+    let lost = |change: &Change| matches!(change, Change::WorkerLost { .. });
+    assert!(bench.proposed.iter().any(lost));
+    assert_eq!(bench.started("a").last().map(|run| run.number), Some(2));
+}
