Say why jobs wait; serving tasks are gathered and packed image by image

Changes: event 620 names what is in the way, once a second for each job and at most four lines in a plan; the line of an accepted job shows its steps. Serving tasks wait 150 ms for others, a new leader waits for the workers that had runs (at most 1 s, and 200 ms in any case), and serving groups are placed image by image, the largest image first.

--- a/crates/pond-job/src/lead/candidate.rs
+++ b/crates/pond-job/src/lead/candidate.rs
@@ -10,6 +10,7 @@
 use super::advice::StepName;
 use super::beside::{Filler, Served};
 use super::harm::Harm;
+use super::wait::Obstacle;
 use super::worker::Worker;
 
 /// A serving task uses about this share of the processors that it asks for, in percent: it asks for
@@ -109,13 +110,29 @@
         }
     }
 
-    /// Whether a task may run there now.
+    /// Whether a task may run there now, whatever it does to the serving tasks there.
     pub fn fits(&self, pool: &str, task: TaskName, step: &Step) -> bool {
-        let idle = !step.fills || self.idle >= i64::from(step.milli_cpu);
-        let room = minus(self.free, self.kept);
+        self.obstacle(pool, task, step).is_none()
+    }
+
+    /// What keeps a task from running there now, the most lasting reason first; none if nothing but
+    /// harm does.
+    pub fn obstacle(&self, pool: &str, task: TaskName, step: &Step) -> Option<Obstacle> {
         // A lasting task tells nothing about a worker's health for long, so it is no probe.
         let sound = if step.lasting { !self.resting } else { self.more > 0 };
-        self.allows(pool, task, step) && sound && step.size().fits(room) && idle
+        if !self.allows(pool, task, step) {
+            Some(Obstacle::Elsewhere)
+        } else if !sound {
+            Some(Obstacle::Resting)
+        } else if !step.size().fits(self.free) {
+            Some(Obstacle::NoRoom)
+        } else if !step.size().fits(minus(self.free, self.kept)) {
+            Some(Obstacle::Kept)
+        } else if step.fills && self.idle < i64::from(step.milli_cpu) {
+            Some(Obstacle::Busy)
+        } else {
+            None
+        }
     }
 
     /// Whether a task could ever run there.
--- a/crates/pond-job/src/lead/mod.rs
+++ b/crates/pond-job/src/lead/mod.rs
@@ -21,6 +21,7 @@
 mod progress;
 mod ready;
 mod regression;
+mod wait;
 mod worker;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -36,10 +37,12 @@
 use ends::Loss;
 use harm::Harm;
 use health::Health;
+use wait::Wait;
 use worker::Worker;
 
 pub use advice::{Permit, Question, StepName};
 pub use output::{Decision, Output, Terms};
+pub use wait::{Obstacle, Obstacles};
 
 /// Time after which an order that shows no effect is sent again, in milliseconds. A report comes
 /// about every second and after each change.
@@ -77,6 +80,10 @@
     harm: Harm,
     /// Which workers may run the steps of some queues.
     adviser: Adviser,
+    /// Since when serving tasks wait to be placed.
+    gathering: Option<Millis>,
+    /// Jobs of which tasks could not be placed in the last plan.
+    waits: BTreeMap<u64, Wait>,
     /// Lives whose agents may need an order.
     dirty: BTreeSet<String>,
     /// When this replica last looked at what is overdue.
@@ -101,6 +108,8 @@
             avoided: BTreeMap::new(),
             harm: Harm::default(),
             adviser: Adviser::default(),
+            gathering: None,
+            waits: BTreeMap::new(),
             dirty: BTreeSet::new(),
             looked: Millis(0),
             ended: BTreeMap::new(),
--- a/crates/pond-job/src/lead/output.rs
+++ b/crates/pond-job/src/lead/output.rs
@@ -5,6 +5,7 @@
 use pond_proto::job::RunName;
 
 use super::advice::Question;
+use super::wait::Obstacles;
 use crate::change::Change;
 
 /// Times that the decisions depend on.
@@ -80,6 +81,23 @@
         /// What the run is expected to add to it, in thousandths.
         added_permille: u32,
     },
+    /// Tasks of a job whose turn has come find no place.
+    Waiting {
+        /// The job.
+        job: u64,
+        /// The step, from zero.
+        step: usize,
+        /// How many of its tasks wait.
+        tasks: usize,
+        /// How many tasks of the job have a place.
+        placed: usize,
+        /// How long the job has waited, in milliseconds.
+        since_ms: Span,
+        /// The image of the step.
+        image: String,
+        /// What keeps the workers from taking the first of them.
+        obstacles: Obstacles,
+    },
     /// A worker gets nothing for a while.
     Sick {
         /// Its life.
@@ -97,6 +115,7 @@
             Decision::WorkerLost { .. } => "worker_lost",
             Decision::Stalled { .. } => "stalled",
             Decision::Moved { .. } => "moved",
+            Decision::Waiting { .. } => "waiting",
             Decision::Sick { .. } => "sick",
         }
     }
--- a/crates/pond-job/src/lead/plan.rs
+++ b/crates/pond-job/src/lead/plan.rs
@@ -5,6 +5,7 @@
 
 use super::candidate::Candidate;
 use super::ready::{Ready, ready};
+use super::wait::{Obstacle, Obstacles};
 use super::worker::Worker;
 use super::{Leader, Output, PROPOSE_AGAIN_MS};
 use crate::change::{Change, Start};
@@ -14,6 +15,17 @@
 /// Starts in one proposal, so that an entry of the log stays small.
 const STARTS: usize = 256;
 
+/// Serving tasks wait this long for others, in milliseconds.
+const GATHER_MS: Span = 150;
+
+/// A new leader plans nothing for this long, in milliseconds: by then most agents have found it, and
+/// their workers do not all get what the first of them could.
+const FIRST_PLAN_MS: Span = 200;
+
+/// A new leader waits this long for workers that had runs before it places serving tasks, in
+/// milliseconds.
+const KNOWN_MS: Span = 1_000;
+
 /// A worker that has not reported for this long gets nothing, in milliseconds. Reports come every
 /// second.
 const FRESH_MS: Span = 2_500;
@@ -24,18 +36,28 @@
         if self.starting.is_some_and(|at| now.since(at) < PROPOSE_AGAIN_MS) {
             return;
         }
-        let ready = ready(state, now, wall, &self.harm);
+        if now.since(self.since) < FIRST_PLAN_MS {
+            return;
+        }
+        let mut ready = ready(state, now, wall, &self.harm);
+        if self.gathers(state, now, &ready) {
+            ready.retain(|group| group.served.is_none());
+        }
         if ready.is_empty() {
             return;
         }
         let mut candidates = self.candidates(state, now);
         let mut starts = Vec::new();
+        let mut blocked = Vec::new();
         for group in &ready {
             if starts.len() >= STARTS {
                 break;
             }
-            self.place(now, group, &mut candidates, &mut starts);
+            if let Some(obstacles) = self.place(now, group, &mut candidates, &mut starts) {
+                blocked.push((group, obstacles));
+            }
         }
+        self.note_waits(state, now, &blocked);
         self.ask_about_ready(now, &ready, &candidates);
         if !starts.is_empty() {
             self.starting = Some(now);
@@ -43,6 +65,24 @@
         }
     }
 
+    /// Whether serving tasks wait: for others that come about then, so that they are packed
+    /// together, or for workers that this replica has not heard of yet.
+    fn gathers(&mut self, state: &State, now: Millis, ready: &[Ready<'_>]) -> bool {
+        if ready.iter().all(|group| group.served.is_none()) {
+            self.gathering = None;
+            return false;
+        }
+        let since = *self.gathering.get_or_insert(now);
+        now.since(since) < GATHER_MS || !self.knows_workers(state, now)
+    }
+
+    /// Whether all workers that have runs have reported since this replica leads, or have had the
+    /// time for it.
+    fn knows_workers(&self, state: &State, now: Millis) -> bool {
+        now.since(self.since) >= KNOWN_MS
+            || state.workers().all(|life| self.workers.contains_key(life))
+    }
+
     /// The workers that may be given something, with what they have room for.
     fn candidates(&self, state: &State, now: Millis) -> Vec<Candidate> {
         let sound = |worker: &Worker| {
@@ -69,17 +109,17 @@
         candidate
     }
 
-    /// Places the tasks of a group that wait, as far as there is room.
+    /// Places the tasks of a group that wait, as far as there is room; what was in the way of the
+    /// first that found none.
     fn place(
         &self,
         now: Millis,
         group: &Ready<'_>,
         candidates: &mut [Candidate],
         starts: &mut Vec<Start>,
-    ) {
+    ) -> Option<Obstacles> {
         if group.step.gang {
-            self.place_gang(now, group, candidates, starts);
-            return;
+            return self.place_gang(now, group, candidates, starts);
         }
         for (index, task) in group.tasks().iter().enumerate() {
             if !task.waits() || starts.len() >= STARTS {
@@ -88,13 +128,15 @@
             let name = group.task(index);
             let Some(found) = self.best(now, group, name, candidates) else {
                 // What has no place for one task has none for the others, as they are equal.
+                let obstacles = self.obstacles(now, group, name, candidates);
                 keep_room(group, index, candidates);
-                break;
+                return Some(obstacles);
             };
             candidates[found].take(name, group.step, group.served.clone());
             let run = RunName { task: name, number: task.run + 1 };
             starts.push(candidates[found].start(run));
         }
+        None
     }
 
     /// A gang is placed whole or not at all, and only once all of its last run has ended.
@@ -104,23 +146,45 @@
         group: &Ready<'_>,
         candidates: &mut [Candidate],
         starts: &mut Vec<Start>,
-    ) {
+    ) -> Option<Obstacles> {
         let tasks = group.tasks();
         if !tasks.iter().all(Task::waits) {
-            return;
+            return None;
         }
         let number = tasks.iter().map(|task| task.run).max().unwrap_or(0) + 1;
         let mut after = candidates.to_vec();
         let mut placed = Vec::new();
         for index in 0..tasks.len() {
             let name = group.task(index);
-            let Some(found) = self.best(now, group, name, &after) else { return };
+            let Some(found) = self.best(now, group, name, &after) else {
+                return Some(self.obstacles(now, group, name, &after));
+            };
             after[found].take(name, group.step, group.served.clone());
             let run = RunName { task: name, number };
             placed.push(after[found].start(run));
         }
         candidates.clone_from_slice(&after);
         starts.extend(placed);
+        None
+    }
+
+    /// What keeps each worker from taking a task.
+    fn obstacles(
+        &self,
+        now: Millis,
+        group: &Ready<'_>,
+        task: TaskName,
+        candidates: &[Candidate],
+    ) -> Obstacles {
+        let obstacle = |candidate: &Candidate| {
+            let there = candidate.obstacle(&group.job.pool, task, group.step);
+            there.unwrap_or_else(|| {
+                let advised = group.job.advice.is_some();
+                let ticket = self.adviser.ticket(now, task.into(), &candidate.life);
+                if advised && ticket.is_none() { Obstacle::NoTicket } else { Obstacle::Harm }
+            })
+        };
+        candidates.iter().map(obstacle).collect()
     }
 
     /// The place of the best candidate for a task, the first of equals; none if it may run nowhere
--- a/crates/pond-job/src/lead/ready.rs
+++ b/crates/pond-job/src/lead/ready.rs
@@ -1,5 +1,8 @@
 //! The groups of tasks that wait for a place, in the order in which they get one.
 
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+
 use pond_proto::Millis;
 use pond_proto::job::{Step, TaskName};
 
@@ -95,9 +98,31 @@
         }
     }
     ready.sort_by_key(|group| (group.urgency, group.id, group.time, group.step_index));
+    pack(&mut ready);
     ready
 }
 
+/// Brings serving groups of equal priority into the order in which they pack well: image by image,
+/// the image that asks for most first, so that only the last worker of each image is shared with
+/// the next one; within an image large tasks first, as small ones fill what they leave.
+fn pack(ready: &mut [Ready<'_>]) {
+    let mut asked: BTreeMap<String, u64> = BTreeMap::new();
+    for group in ready.iter().filter(|group| group.served.is_some()) {
+        let waiting = group.tasks().iter().filter(|task| task.waits()).count() as u64;
+        let milli_cpu = u64::from(group.step.milli_cpu);
+        *asked.entry(group.step.image.clone()).or_default() += waiting * milli_cpu;
+    }
+    ready.sort_by_key(|group| {
+        let image = group.step.image.as_str();
+        let place = group.served.is_some().then(|| {
+            let asked = asked.get(image).copied().unwrap_or(0);
+            (Reverse(asked), image, Reverse(group.step.milli_cpu))
+        });
+        // None sorts before Some, and serving groups go first.
+        (group.urgency.priority, Reverse(place.is_some()), place)
+    });
+}
+
 fn urgency(job: &Job, time: usize, wall: Millis) -> Urgency {
     let due = job.due(time);
     let span = job.aim.since(job.at);
--- a/crates/pond-log/src/events.rs
+++ b/crates/pond-log/src/events.rs
@@ -149,6 +149,8 @@
     RUN_MOVED = 617, Info, "a filling run disturbs serving ones and is moved", "nothing";
     ADVICE_FAILED = 618, Warning, "the adviser did not answer which workers may run a step",
         "look at the adviser; it is asked again";
+    JOB_WAITS = 620, Info, "tasks of a job find no place",
+        "see which obstacle counts most workers; rest points to sick workers, room to a full pool";
     ADVISED = 619, Info, "the adviser said which workers may run a step", "nothing";
 }
 
--- a/crates/pond-proto/src/job.rs
+++ b/crates/pond-proto/src/job.rs
@@ -93,6 +93,25 @@
     }
 }
 
+impl fmt::Display for Step {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let kind = if self.fills { "filling" } else { "asking" };
+        let lasting = if self.lasting { "lasting " } else { "" };
+        write!(f, "{} {lasting}tasks {kind} {} milli-cpu ", self.tasks, self.milli_cpu)?;
+        write!(f, "{} MiB {} ms", self.memory_mib, self.estimate_ms)?;
+        if !self.image.is_empty() {
+            write!(f, " image {}", self.image)?;
+        }
+        if self.lasting {
+            write!(f, " may miss {}", self.may_miss)?;
+        }
+        if self.most_per_worker > 0 {
+            write!(f, " most per worker {}", self.most_per_worker)?;
+        }
+        Ok(())
+    }
+}
+
 /// When a repeated job runs.
 #[derive(Clone, Copy, PartialEq, Message, Serialize, Deserialize)]
 pub struct Repeat {
--- a/crates/pond-replica/src/audit.rs
+++ b/crates/pond-replica/src/audit.rs
@@ -1,8 +1,8 @@
 //! What a leader writes to the log: its decisions, and what applied changes did.
 
-use pond_job::{Change, Decision, End, Reply, Start};
+use pond_job::{Change, Decision, End, Obstacle, Reply, Start};
 use pond_log::event;
-use pond_proto::job::{Phase, RunName};
+use pond_proto::job::{Phase, RunName, Step};
 
 use crate::replica::Replica;
 
@@ -23,6 +23,16 @@
                 event!(self.log, RUN_MOVED, "run" => run.to_string(), "worker" => worker,
                     "excess_permille" => excess_permille, "added_permille" => added_permille);
             }
+            Decision::Waiting { job, step, tasks, placed, since_ms, image, obstacles } => {
+                let count = |obstacle| obstacles.count(obstacle);
+                event!(self.log, JOB_WAITS, "job" => format!("{job:016x}"), "step" => step,
+                    "tasks" => tasks, "placed" => placed, "since_ms" => since_ms, "image" => image,
+                    "elsewhere" => count(Obstacle::Elsewhere),
+                    "resting" => count(Obstacle::Resting), "no_room" => count(Obstacle::NoRoom),
+                    "kept" => count(Obstacle::Kept),
+                    "busy" => count(Obstacle::Busy),
+                    "no_ticket" => count(Obstacle::NoTicket), "harm" => count(Obstacle::Harm));
+            }
             Decision::Sick { worker, for_ms } => {
                 event!(self.log, WORKER_SICK, "worker" => worker, "for_ms" => for_ms);
             }
@@ -37,8 +47,10 @@
                     "queues" => configuration.queues.len());
             }
             Change::Submit { id, spec, .. } => {
-                event!(self.log, JOB_ACCEPTED, "job" => format!("{id:016x}"),
-                    "steps" => spec.steps.len(), "reply" => format!("{reply:?}"));
+                let queue = self.state.job(*id).map_or(String::new(), |job| job.queue.clone());
+                let steps: Vec<String> = spec.steps.iter().map(Step::to_string).collect();
+                event!(self.log, JOB_ACCEPTED, "job" => format!("{id:016x}"), "queue" => queue,
+                    "steps" => steps.join(", "), "reply" => format!("{reply:?}"));
             }
             Change::Cancel { id, .. } => {
                 event!(self.log, JOB_CANCELLED, "job" => format!("{id:016x}"),
