Work that only a guess keeps waiting is tried after a while

Ruled out: rest, kept room, memory, tickets. Change: one task of a job of which nothing runs is started where the excess of pressure is least, after 2 s while more than half of the room is free, else after 20 s; one such task on a worker, and it is not moved: its agent slows it down. Tests: three in crates/pond-job/tests/harm.rs; the first fails without the change.

--- a/crates/pond-agent/src/core/answers.rs
+++ b/crates/pond-agent/src/core/answers.rs
@@ -83,7 +83,7 @@
         let Some(run) = self.runs.get_mut(&name) else { return };
         run.calling = false;
         if *reply == Reply::Done {
-            run.pace = percent;
+            run.pace = Some(percent);
         }
     }
 
@@ -119,8 +119,10 @@
             if self.ends.values().any(|end| end.run == name) {
                 continue;
             }
-            let run =
-                self.runs.entry(name).or_insert_with(|| Run::new(name, Phase::Running, None, now));
+            let run = self.runs.entry(name).or_insert_with(|| {
+                // Started through a former life of this agent, which may have slowed it down.
+                Run { pace: None, ..Run::new(name, Phase::Running, None, now) }
+            });
             if matches!(run.phase, Phase::Starting { .. }) {
                 run.phase = Phase::Running;
             }
--- a/crates/pond-agent/src/core/due.rs
+++ b/crates/pond-agent/src/core/due.rs
@@ -107,7 +107,7 @@
         for (name, run) in &mut self.runs {
             let Some(watch) = run.watch.as_ref().filter(|watch| watch.fills) else { continue };
             let percent = self.pacing.pace(&watch.image);
-            if run.phase == Phase::Running && run.pace != percent && !run.calling {
+            if run.phase == Phase::Running && run.pace != Some(percent) && !run.calling {
                 run.calling = true;
                 calls.push(Call::Pace { run: *name, percent });
             }
--- a/crates/pond-agent/src/run.rs
+++ b/crates/pond-agent/src/run.rs
@@ -43,14 +43,15 @@
     pub seen: bool,
     /// How to watch it, as far as known.
     pub watch: Option<Watch>,
-    /// What the worker was last told about its pace, in percent.
-    pub pace: u32,
+    /// What the worker was last told about its pace, in percent; not known of runs that were there
+    /// before this agent.
+    pub pace: Option<u32>,
 }
 
 impl Run {
     /// A run of which the worker has said nothing yet; the first call about it is due at `now`.
     pub fn new(name: RunName, phase: Phase, watch: Option<Watch>, now: Millis) -> Run {
         let row = RunRow { run: name, save: String::new(), percent: 0, figure: 0 };
-        Run { phase, calling: false, due: now, fails: 0, row, seen: false, watch, pace: 100 }
+        Run { phase, calling: false, due: now, fails: 0, row, seen: false, watch, pace: Some(100) }
     }
 }
--- a/crates/pond-job/src/lead/candidate.rs
+++ b/crates/pond-job/src/lead/candidate.rs
@@ -56,6 +56,8 @@
     pub fillers: Vec<Filler>,
     /// How many more runs it may be given that end by themselves.
     pub more: usize,
+    /// It has a task that was started there although it was expected to disturb.
+    pub tried: bool,
     /// It gets nothing at all.
     pub resting: bool,
     /// How many tasks of each time and step of a job it has.
@@ -78,6 +80,7 @@
             served: Vec::new(),
             fillers: Vec::new(),
             more: usize::MAX,
+            tried: false,
             resting: false,
             steps: BTreeMap::new(),
         }
@@ -187,6 +190,14 @@
         filler.is_none_or(|filler| harm.bearable(&self.served, &self.fillers, &filler))
     }
 
+    /// By how much the pressure on serving tasks here would exceed what their targets allow beside
+    /// one more task.
+    pub fn excess_with(&self, step: &Step, harm: &Harm) -> f64 {
+        let mut fillers = self.fillers.clone();
+        fillers.extend(Filler::of(step, self.processors));
+        harm.excess(&self.served, &fillers)
+    }
+
     /// A filling task, if there are serving ones that it could disturb.
     fn disturber(&self, step: &Step) -> Option<Filler> {
         Filler::of(step, self.processors).filter(|_| !self.served.is_empty())
--- a/crates/pond-job/src/lead/evict.rs
+++ b/crates/pond-job/src/lead/evict.rs
@@ -24,7 +24,9 @@
         }
         let excess = self.harm.excess(&served, &fillers);
         for i in guilty {
-            if soon_done(report, runs[i]) || !self.unwanted.insert(runs[i]) {
+            // A run that was tried has waited long enough; its agent slows it down if need be.
+            let stays = soon_done(report, runs[i]) || self.tried.contains(&runs[i]);
+            if stays || !self.unwanted.insert(runs[i]) {
                 continue;
             }
             let decision = Decision::Moved {
--- a/crates/pond-job/src/lead/mod.rs
+++ b/crates/pond-job/src/lead/mod.rs
@@ -16,6 +16,7 @@
 mod load;
 mod order;
 mod output;
+mod overdue;
 mod plan;
 mod pressure;
 mod progress;
@@ -74,6 +75,8 @@
     losing: BTreeMap<String, Loss>,
     /// Runs that are stopped to run elsewhere.
     unwanted: BTreeSet<RunName>,
+    /// Runs that were started although they were expected to disturb.
+    tried: BTreeSet<RunName>,
     /// Workers on which a run of the task failed or stalled.
     avoided: BTreeMap<TaskName, BTreeSet<String>>,
     /// What filling tasks do to serving ones.
@@ -105,6 +108,7 @@
             starting: None,
             losing: BTreeMap::new(),
             unwanted: BTreeSet::new(),
+            tried: BTreeSet::new(),
             avoided: BTreeMap::new(),
             harm: Harm::default(),
             adviser: Adviser::default(),
--- /dev/null
+++ b/crates/pond-job/src/lead/overdue.rs
@@ -0,0 +1,94 @@
+//! Work that nothing but a guess keeps waiting is tried after a while, one task at a time.
+//!
+//! What is learned of harm and what serving tasks are taken to use may be wrong, and loads change.
+//! Without a bound a job whose image is taken to disturb everywhere would wait for ever with most
+//! of the room free.
+
+use pond_proto::job::{RunName, TaskName};
+use pond_proto::{Millis, Span};
+
+use super::Leader;
+use super::candidate::Candidate;
+use super::ready::Ready;
+use super::wait::{Obstacle, Obstacles};
+use crate::change::Start;
+use crate::job::Task;
+use crate::state::State;
+
+/// A job of which nothing runs waits this long for a guess while most of the room is free, in
+/// milliseconds: below the three seconds that platforms bear, by some plans and a commit.
+const PATIENCE_MS: Span = 2_000;
+
+/// The same while less than half of the room is free, in milliseconds: then waiting is the rule and
+/// a trial takes from others; this is a bound and no more.
+const LONG_PATIENCE_MS: Span = 20_000;
+
+impl Leader {
+    /// Starts one task of each job of which nothing runs and that has waited too long, where it is
+    /// expected to disturb least; at most one such task on a worker. The agent there slows it down
+    /// if it does harm after all.
+    pub(super) fn try_overdue(
+        &mut self,
+        state: &State,
+        now: Millis,
+        blocked: &[(&Ready<'_>, Obstacles)],
+        candidates: &mut [Candidate],
+        starts: &mut Vec<Start>,
+    ) {
+        self.tried.retain(|run| is_placed(state, *run));
+        let patience = if mostly_free(candidates) { PATIENCE_MS } else { LONG_PATIENCE_MS };
+        for (group, _) in blocked {
+            let wait = self.waits.get(&group.id);
+            let overdue = wait.is_some_and(|wait| now.since(wait.since) >= patience);
+            let begun = starts.iter().any(|start| start.run.task.job == group.id);
+            // The tasks of a gang have to start together.
+            if !overdue || group.job.placed > 0 || begun || group.step.gang {
+                continue;
+            }
+            let Some(index) = group.tasks().iter().position(Task::waits) else { continue };
+            let task = group.task(index);
+            let Some(found) = self.least_disturbed(now, group, task, candidates) else { continue };
+            let run = RunName { task, number: group.tasks()[index].run + 1 };
+            candidates[found].take(task, group.step, group.served.clone());
+            candidates[found].tried = true;
+            starts.push(candidates[found].start(run));
+            self.tried.insert(run);
+        }
+    }
+
+    /// The place of the candidate on which a task is expected to disturb least, whatever that is.
+    fn least_disturbed(
+        &self,
+        now: Millis,
+        group: &Ready<'_>,
+        task: TaskName,
+        candidates: &[Candidate],
+    ) -> Option<usize> {
+        let guess = |candidate: &Candidate| {
+            let obstacle = candidate.obstacle(&group.job.pool, task, group.step);
+            obstacle.is_none_or(|there| there == Obstacle::Busy)
+        };
+        let ticket = |candidate: &Candidate| {
+            let advised = group.job.advice.is_some();
+            !advised || self.adviser.ticket(now, task.into(), &candidate.life).is_some()
+        };
+        let open =
+            |candidate: &Candidate| !candidate.tried && guess(candidate) && ticket(candidate);
+        let excess = |candidate: &Candidate| candidate.excess_with(group.step, &self.harm);
+        let found = candidates.iter().enumerate().filter(|(_, candidate)| open(candidate));
+        found.min_by(|(_, a), (_, b)| excess(a).total_cmp(&excess(b))).map(|(i, _)| i)
+    }
+}
+
+/// Whether a run is the newest of its task and has a worker.
+fn is_placed(state: &State, run: RunName) -> bool {
+    let task = state.job(run.task.job).and_then(|job| job.task(run.task));
+    task.is_some_and(|task| task.run == run.number && task.worker.is_some())
+}
+
+/// Whether more than half of the processors that tasks ask for are free.
+fn mostly_free(candidates: &[Candidate]) -> bool {
+    let all: u64 = candidates.iter().map(|candidate| u64::from(candidate.processors)).sum();
+    let free: u64 = candidates.iter().map(|candidate| u64::from(candidate.free.milli_cpu)).sum();
+    free * 2 > all
+}
--- a/crates/pond-job/src/lead/plan.rs
+++ b/crates/pond-job/src/lead/plan.rs
@@ -58,6 +58,7 @@
             }
         }
         self.note_waits(state, now, &blocked);
+        self.try_overdue(state, now, &blocked, &mut candidates, &mut starts);
         self.ask_about_ready(now, &ready, &candidates);
         if !starts.is_empty() {
             self.starting = Some(now);
@@ -106,6 +107,7 @@
         // Health counts the runs there itself, so this comes after they were taken.
         candidate.more = health.map_or(usize::MAX, |health| health.allowed(now, passing));
         candidate.resting = health.is_some_and(|health| health.resting(now));
+        candidate.tried = placed.iter().any(|(run, _)| self.tried.contains(run));
         candidate
     }
 
--- a/crates/pond-job/tests/harm.rs
+++ b/crates/pond-job/tests/harm.rs
@@ -142,3 +142,51 @@
     assert_eq!((place(3), place(4)), (place(2), place(1)));
     assert_ne!(place(1), place(2));
 }
+
+#[test]
+fn job_that_only_a_guess_keeps_waiting_is_tried_after_a_while() {
+    let mut bench = beside(&["loud"]);
+    disturb(&mut bench);
+    let run = bench.stopped("a")[0];
+    bench.end("a", run, How::Stopped);
+    show(&mut bench, "a", &[(1, 6)]);
+    bench.submit_batch(9, vec![filling("loud")]);
+    for _ in 0..3 {
+        show(&mut bench, "a", &[(1, 6)]);
+    }
+    assert_eq!(bench.place_of(task(9, 0, 0)), None);
+    for _ in 0..2 {
+        show(&mut bench, "a", &[(1, 6)]);
+    }
+    let tried = [2, 9].map(|job| bench.place_of(task(job, 0, 0)).is_some());
+    assert!(tried.contains(&true));
+}
+
+#[test]
+fn one_task_at_a_time_is_tried_on_a_worker() {
+    let mut bench = beside(&["loud"]);
+    disturb(&mut bench);
+    let run = bench.stopped("a")[0];
+    bench.end("a", run, How::Stopped);
+    bench.submit_batch(9, vec![Step { tasks: 4, ..filling("loud") }]);
+    for _ in 0..12 {
+        show(&mut bench, "a", &[(1, 6)]);
+    }
+    assert_eq!(bench.state.placed("a").filter(|run| run.task.job != 1).count(), 1);
+}
+
+#[test]
+fn run_that_was_tried_is_not_moved() {
+    let mut bench = beside(&["loud"]);
+    disturb(&mut bench);
+    let run = bench.stopped("a")[0];
+    bench.end("a", run, How::Stopped);
+    for _ in 0..6 {
+        show(&mut bench, "a", &[(1, 6)]);
+    }
+    let before = moved(&bench).len();
+    bench.obey("a");
+    show(&mut bench, "a", &[(1, 60), (2, 3_200)]);
+    assert_eq!(bench.place_of(run.task).as_deref(), Some("a"));
+    assert_eq!(moved(&bench).len(), before);
+}
