A life of a worker is believed once it has answered; no calls with a token that is none or refused

The agent took any life but the last former one for a new one, and told control that all runs of the living one were over: they would have been started elsewhere beside those that ran on. Decided: neither sequence (it starts anew with each life) nor clock tells which life is newer; the life that answers a call does. One that registers for 3.5 s without an answer is believed only if no other answers either. Change: claims (core/claim.rs); no call while no leader is known or its term was refused; a call that times out drops the kept connections to its address.

--- a/crates/pond-agent/src/agent.rs
+++ b/crates/pond-agent/src/agent.rs
@@ -25,7 +25,7 @@
 enum Input {
     Registered(Registration),
     Leaves(String),
-    Answered { life: String, look: u64, call: Call, answer: Answer },
+    Answered { life: String, token: u64, look: u64, call: Call, answer: Answer },
     Learn(Vec<String>),
 }
 
@@ -135,9 +135,9 @@
                 event!(self.log, WORKER_LOST, "worker" => life.clone(), "why" => "it left");
                 self.core.leaves(now, &life);
             }
-            Input::Answered { life, look, call, answer } => {
+            Input::Answered { life, token, look, call, answer } => {
                 self.log_answer(&life, &call, &answer);
-                self.core.answer(now, &life, look, &call, answer);
+                self.core.answer(now, &life, token, look, &call, answer);
             }
             Input::Learn(addresses) => self.uplink.learn(&addresses),
         }
@@ -189,7 +189,7 @@
         tokio::spawn(async move {
             let answer = worker.call(&address, &life, token, call.clone()).await;
             // The receiver is gone only when the agent has stopped.
-            let _ = sender.send(Input::Answered { life, look, call, answer }).await;
+            let _ = sender.send(Input::Answered { life, token, look, call, answer }).await;
         });
     }
 }
--- a/crates/pond-agent/src/core/answers.rs
+++ b/crates/pond-agent/src/core/answers.rs
@@ -26,10 +26,22 @@
 const UNSETTLED_WAIT_MS: Span = 60;
 
 impl Core {
-    /// The worker answered a call, or did not.
-    pub fn answer(&mut self, now: Millis, life: &str, look: u64, call: &Call, answer: Answer) {
+    /// The worker answered a call that was made with this fencing token, or did not.
+    pub fn answer(
+        &mut self,
+        now: Millis,
+        life: &str,
+        token: u64,
+        look: u64,
+        call: &Call,
+        answer: Answer,
+    ) {
+        if answer.reply == Reply::Refused(Refusal::Fenced) {
+            // Another has called with a higher one; calls with this one are refused for good.
+            self.fenced = self.fenced.max(token);
+        }
         if self.life() != Some(life) {
-            return;
+            return self.claim_answer(now, life, look, answer);
         }
         self.clock_ms = self.clock_ms.max(answer.clock_ms.unwrap_or(0));
         if answer.reply == Reply::OtherLife {
@@ -87,7 +99,7 @@
         }
     }
 
-    fn look_answer(&mut self, now: Millis, look: u64, reply: Reply) {
+    pub(super) fn look_answer(&mut self, now: Millis, look: u64, reply: Reply) {
         if self.looking == Some(look) {
             self.looking = None;
         }
--- /dev/null
+++ b/crates/pond-agent/src/core/claim.rs
@@ -0,0 +1,103 @@
+//! Lives of the worker that have registered and not answered a call yet.
+//!
+//! A registration may come late, even after the life that sent it is over and another one has
+//! registered at the same address. So it proves nothing: only the life that answers a call is there.
+//! Taking an old one for the new one would tell control that all runs of the living one are over.
+
+use pond_proto::Millis;
+
+use super::due::SILENT_MS;
+use super::{Core, Output, Registration};
+use crate::worker::{Answer, Call, Reply};
+
+/// Claims that are kept, the newest: a cut holds back the registrations of a few lives at most.
+const MOST_CLAIMS: usize = 4;
+
+/// A life that has registered and not answered yet.
+#[derive(Debug)]
+pub(super) struct Claim {
+    registration: Registration,
+    since: Millis,
+    /// A call to it is on its way.
+    asked: bool,
+}
+
+impl Claim {
+    /// Whether it is that life's.
+    pub fn is_of(&self, life: &str) -> bool {
+        self.registration.life == life
+    }
+}
+
+impl Core {
+    /// A life registers that is not the known one. It is asked whether it is there.
+    pub(super) fn claim(&mut self, now: Millis, registration: Registration) {
+        let life = registration.life.clone();
+        match self.claims.iter_mut().find(|claim| claim.is_of(&life)) {
+            Some(claim) if registration.sequence <= claim.registration.sequence => return,
+            Some(claim) => claim.registration = registration,
+            None => {
+                self.claims.push(Claim { registration, since: now, asked: false });
+                let more = self.claims.len().saturating_sub(MOST_CLAIMS);
+                self.claims.drain(..more);
+            }
+        }
+        self.ask_claims();
+        self.adopt_unanswered(now, &life);
+    }
+
+    /// Asks all lives that claim to be there and have no call on its way.
+    pub(super) fn ask_claims(&mut self) {
+        if !self.may_call() {
+            return;
+        }
+        for claim in self.claims.iter_mut().filter(|claim| !claim.asked) {
+            claim.asked = true;
+            self.looks += 1;
+            self.outputs.push(Output::Call {
+                address: claim.registration.address.clone(),
+                life: claim.registration.life.clone(),
+                token: self.term,
+                look: self.looks,
+                call: Call::Look { lease_end_ms: 0, settled: 0, wait_ms: 0 },
+            });
+        }
+    }
+
+    /// A life that claims to be there answered, or did not.
+    pub(super) fn claim_answer(&mut self, now: Millis, life: &str, look: u64, answer: Answer) {
+        let found = self.claims.iter().position(|claim| claim.is_of(life));
+        let Some(found) = found else { return };
+        match answer.reply {
+            // Its next registration asks again.
+            Reply::Unknown => self.claims[found].asked = false,
+            Reply::OtherLife => {
+                self.claims.remove(found);
+                self.remember_over(life.to_owned());
+            }
+            reply => {
+                self.adopt(now, found);
+                self.clock_ms = self.clock_ms.max(answer.clock_ms.unwrap_or(0));
+                self.look_answer(now, look, reply);
+            }
+        }
+    }
+
+    /// A life that registers again and again but answers nothing is believed once no other answers
+    /// either, so that control learns that the former one is over.
+    fn adopt_unanswered(&mut self, now: Millis, life: &str) {
+        let silent = self.worker.is_none() || now.since(self.listed) >= SILENT_MS;
+        let waited = |claim: &Claim| claim.is_of(life) && now.since(claim.since) >= SILENT_MS;
+        if let Some(found) = self.claims.iter().position(waited).filter(|_| silent) {
+            self.adopt(now, found);
+        }
+    }
+
+    /// A life is the worker from now on.
+    fn adopt(&mut self, now: Millis, found: usize) {
+        let registration = self.claims.remove(found).registration;
+        self.new_life(now, &registration.life);
+        self.clock_ms = registration.clock_ms;
+        self.worker = Some(registration);
+    }
+}
--- a/crates/pond-agent/src/core/due.rs
+++ b/crates/pond-agent/src/core/due.rs
@@ -22,16 +22,15 @@
 
 /// A worker that has not listed for this long does not answer, in milliseconds: about two lists,
 /// each with its wait of a second and the time for an answer.
-const SILENT_MS: Span = 3_500;
+pub(super) const SILENT_MS: Span = 3_500;
 
 impl Core {
     /// Does what is due and hands out what the shell must do.
     pub fn tick(&mut self, now: Millis) -> Vec<Output> {
         if self.worker.is_some() {
-            self.call_due(now);
-            if self.looking.is_none() && now >= self.look_due {
-                let wait = self.wait_ms();
-                self.looking = Some(self.look(wait));
+            if self.may_call() {
+                self.call_due(now);
+                self.look_if_due(now);
             }
             if self.news || now.since(self.reported) >= REPORT_MS {
                 self.report(now);
@@ -40,9 +39,19 @@
         std::mem::take(&mut self.outputs)
     }
 
+    fn look_if_due(&mut self, now: Millis) {
+        if self.looking.is_none() && now >= self.look_due {
+            let wait = self.wait_ms();
+            self.looking = Some(self.look(wait));
+        }
+    }
+
     /// When something is due without any further input.
     pub fn due(&self, now: Millis) -> Millis {
         let mut due = self.reported + REPORT_MS;
+        if !self.may_call() {
+            return due.max(now);
+        }
         if self.looking.is_none() {
             due = due.min(self.look_due);
         }
--- a/crates/pond-agent/src/core/mod.rs
+++ b/crates/pond-agent/src/core/mod.rs
@@ -6,9 +6,10 @@
 //! only up to times that control granted.
 
 mod answers;
+mod claim;
 mod due;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use pond_proto::fleet::{EndRow, Order, Report, StartOrder};
 use pond_proto::job::RunName;
@@ -18,6 +19,11 @@
 use crate::run::{Phase, Run};
 use crate::worker::Call;
 
+use claim::Claim;
+
+/// Lives that are over and remembered as such, the newest: their registrations may still come late.
+const OVER_KEPT: usize = 16;
+
 /// What a worker says of itself.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Registration {
@@ -66,12 +72,19 @@
 /// The agent's state.
 #[derive(Debug, Default)]
 pub struct Core {
+    /// The life of the worker that has answered a call.
     worker: Option<Registration>,
     /// The life before this one.
     former: Option<String>,
+    /// Lives that are over.
+    over: VecDeque<String>,
+    /// Lives that have registered and not answered yet.
+    claims: Vec<Claim>,
     clock_ms: u64,
     /// The highest term of a leader.
     term: u64,
+    /// The highest fencing token that a worker refused as too low; zero for none.
+    fenced: u64,
     /// The lease that was granted, on the worker's clock in milliseconds.
     lease_end_ms: u64,
     settled: u64,
@@ -112,13 +125,12 @@
 
     /// The worker says something of itself. From a draining worker's on, nothing is started.
     pub fn registered(&mut self, now: Millis, registration: Registration) {
-        // A registration may come late, after its life is over.
-        if self.former.as_ref() == Some(&registration.life) {
+        if self.over.contains(&registration.life) {
             return;
         }
         let known = self.worker.as_ref().filter(|worker| worker.life == registration.life);
         match known {
-            None => self.new_life(now, &registration.life),
+            None => return self.claim(now, registration),
             Some(known) if registration.sequence <= known.sequence => return,
             Some(known) if known.draining != registration.draining => self.news = true,
             Some(_) => {}
@@ -143,11 +155,16 @@
     /// Forgets all of the former life; none is known if `life` is empty.
     fn new_life(&mut self, now: Millis, life: &str) {
         let before = self.worker.take().map(|worker| worker.life);
-        let term = self.term;
-        let former = before.filter(|before| before != life).or(self.former.take());
+        let before = before.filter(|before| before != life);
+        if let Some(before) = before.clone() {
+            self.remember_over(before);
+        }
         *self = Core {
-            former,
-            term,
+            former: before.or(self.former.take()),
+            over: std::mem::take(&mut self.over),
+            claims: std::mem::take(&mut self.claims),
+            term: self.term,
+            fenced: self.fenced,
             listed: now,
             looks: self.looks,
             outputs: std::mem::take(&mut self.outputs),
@@ -157,8 +174,20 @@
         self.report_former();
     }
 
+    fn remember_over(&mut self, life: String) {
+        self.over.push_back(life);
+        let more = self.over.len().saturating_sub(OVER_KEPT);
+        self.over.drain(..more);
+    }
+
+    /// Whether calls are of use: a leader is known, and no worker has refused its term as too low.
+    fn may_call(&self) -> bool {
+        self.term > self.fenced
+    }
+
     /// The worker says that this life of it is over.
     pub fn leaves(&mut self, now: Millis, life: &str) {
+        self.claims.retain(|claim| !claim.is_of(life));
         if self.life() == Some(life) {
             self.new_life(now, "");
         }
@@ -175,6 +204,7 @@
         self.term = self.term.max(term);
         self.news = true;
         self.report_former();
+        self.ask_claims();
     }
 
     /// Control orders something.
--- a/crates/pond-agent/tests/core.rs
+++ b/crates/pond-agent/tests/core.rs
@@ -19,19 +19,41 @@
     core: Core,
     now: Millis,
     calls: Vec<(u64, Call)>,
+    /// Calls to lives that have registered and not answered.
+    claims: Vec<(String, u64, Call)>,
+    /// Token of the last call.
+    token: u64,
     reports: Vec<Report>,
 }
 
 impl Bench {
+    /// An agent that knows neither a leader nor a worker.
+    fn without_leader() -> Bench {
+        Bench {
+            core: Core::new(),
+            now: Millis(1_000),
+            calls: vec![],
+            claims: vec![],
+            token: 0,
+            reports: vec![],
+        }
+    }
+
     fn new() -> Bench {
-        let mut bench =
-            Bench { core: Core::new(), now: Millis(1_000), calls: vec![], reports: vec![] };
+        let mut bench = Bench::without_leader();
         bench.core.leader_up(3);
         bench.register(LIFE, false, 1);
         bench
     }
 
+    /// A life registers and answers the call that asks whether it is there, if there is one.
     fn register(&mut self, life: &str, draining: bool, sequence: u64) {
+        self.claim(life, draining, sequence);
+        self.answer_claim(life, Reply::Listed { runs: vec![], ends: vec![] });
+    }
+
+    /// A registration comes.
+    fn claim(&mut self, life: &str, draining: bool, sequence: u64) {
         let registration = Registration {
             life: life.to_owned(),
             address: "127.0.0.1:1".to_owned(),
@@ -48,7 +70,13 @@
     fn tick(&mut self) {
         for output in self.core.tick(self.now) {
             match output {
-                Output::Call { look, call, .. } => self.calls.push((look, call)),
+                Output::Call { life, look, call, .. } if self.core.life() != Some(&life) => {
+                    self.claims.push((life, look, call));
+                }
+                Output::Call { token, look, call, .. } => {
+                    self.token = token;
+                    self.calls.push((look, call));
+                }
                 Output::Report(report) => self.reports.push(report),
             }
         }
@@ -108,7 +136,16 @@
         let found = self.calls.iter().position(|(_, call)| wanted(call)).expect("no such call");
         let (look, call) = self.calls.remove(found);
         let answer = Answer { clock_ms: Some(51_000), reply };
-        self.core.answer(self.now, LIFE, look, &call, answer);
+        self.core.answer(self.now, LIFE, self.token, look, &call, answer);
+        self.tick();
+    }
+
+    /// Answers the call that asks a life whether it is there.
+    fn answer_claim(&mut self, life: &str, reply: Reply) {
+        let Some(found) = self.claims.iter().position(|(claim, ..)| claim == life) else { return };
+        let (life, look, call) = self.claims.remove(found);
+        let answer = Answer { clock_ms: Some(50_000), reply };
+        self.core.answer(self.now, &life, self.token, look, &call, answer);
         self.tick();
     }
 
@@ -377,3 +414,84 @@
     bench.run_all(vec![serving(0, 10), filling(1, "", 0)]);
     bench.list_tail(u32::MAX, 1);
 }
+
+#[test]
+fn late_registration_of_an_earlier_life_changes_nothing() {
+    // The life before this one was never heard of: its registration was held back by a cut.
+    let mut bench = Bench::new();
+    bench.start(0);
+    bench.claim("life-0", false, 7);
+    bench.answer_claim("life-0", Reply::OtherLife);
+    assert_eq!(bench.core.life(), Some(LIFE));
+    assert!(!bench.reports.iter().any(|report| report.gone));
+    bench.claim("life-0", false, 8);
+    assert!(bench.claims.is_empty());
+}
+
+#[test]
+fn registrations_of_lives_in_any_order_lead_to_the_one_that_answers() {
+    let lives = ["life-0", "life-1", "life-2"];
+    for order in [[0, 1, 2], [0, 2, 1], [1, 0, 2], [1, 2, 0], [2, 0, 1], [2, 1, 0]] {
+        let mut bench = Bench::without_leader();
+        bench.core.leader_up(3);
+        for place in order {
+            bench.claim(lives[place], false, 1);
+        }
+        for life in lives {
+            let there = Reply::Listed { runs: vec![], ends: vec![] };
+            bench.answer_claim(life, if life == "life-2" { there } else { Reply::OtherLife });
+        }
+        assert_eq!(bench.core.life(), Some("life-2"), "{order:?}");
+        assert!(!bench.reports.iter().any(|report| report.gone && report.worker == "life-2"));
+    }
+}
+
+#[test]
+fn life_that_only_registers_is_believed_once_no_other_answers() {
+    let mut bench = Bench::new();
+    bench.claim("life-2", false, 1);
+    bench.answer_claim("life-2", Reply::Unknown);
+    for sequence in 2..6 {
+        bench.pass(1_100);
+        bench.claim("life-2", false, sequence);
+        bench.answer_claim("life-2", Reply::Unknown);
+    }
+    assert_eq!(bench.core.life(), Some("life-2"));
+    assert!(bench.reports.iter().any(|report| report.gone && report.worker == LIFE));
+}
+
+#[test]
+fn agent_without_a_leader_calls_nobody() {
+    let mut bench = Bench::without_leader();
+    bench.claim(LIFE, false, 1);
+    bench.pass(5_000);
+    bench.claim(LIFE, false, 2);
+    bench.pass(5_000);
+    assert!(bench.calls.is_empty() && bench.claims.is_empty());
+    bench.core.leader_up(3);
+    bench.pass(1);
+    assert!(!bench.calls.is_empty() || !bench.claims.is_empty());
+}
+
+#[test]
+fn agent_whose_token_was_refused_calls_again_only_with_a_higher_one() {
+    let mut bench = Bench::new();
+    bench.answer(is_look, Reply::Refused(Refusal::Fenced));
+    bench.calls.clear();
+    for _ in 0..20 {
+        bench.pass(1_000);
+    }
+    assert!(bench.calls.is_empty());
+    bench.core.leader_up(4);
+    bench.pass(1);
+    assert_eq!(bench.count(is_look), 1);
+}
+
+#[test]
+fn refusal_of_an_older_token_does_not_stop_calls_with_a_newer_one() {
+    let mut bench = Bench::new();
+    bench.core.leader_up(4);
+    bench.answer(is_look, Reply::Refused(Refusal::Fenced));
+    bench.pass(1_000);
+    assert!(bench.count(is_look) > 0);
+}
--- a/crates/pond-http/src/client.rs
+++ b/crates/pond-http/src/client.rs
@@ -66,10 +66,19 @@
         let exchange = self.exchange(address, call);
         match timeout(patience, exchange).await {
             Ok(result) => result,
-            Err(_) => Err(broken(address, format!("nothing within {} ms", patience.as_millis()))),
+            Err(_) => {
+                self.forget(address);
+                Err(broken(address, format!("nothing within {} ms", patience.as_millis())))
+            }
         }
     }
 
+    /// Drops the kept connections to an address. Where one fell silent, the others may have, too,
+    /// and each would cost a call its whole patience.
+    fn forget(&self, address: &str) {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner).remove(address);
+    }
+
     async fn exchange(&self, address: &str, call: Call) -> Result<Reply, Error> {
         let mut request = request(address, call)?;
         loop {
