What was learned of harm outlives its leader

Change: the leader proposes what it has learned every two seconds if it has changed (a kilobyte or two for nine by five images); a new leader goes on from it, the less sure the older it is. Loads change within seconds and are not kept. Test in crates/pond-job/tests/harm.rs.

--- a/crates/pond-job/src/change.rs
+++ b/crates/pond-job/src/change.rs
@@ -4,7 +4,7 @@
 use pond_proto::job::{How, Phase, RunName, Spec};
 use serde::{Deserialize, Serialize};
 
-use crate::Configuration;
+use crate::{Configuration, Lesson};
 
 /// An entry of the log.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -55,6 +55,8 @@
     },
     /// Jobs that ended long ago are dropped.
     Forget(Vec<u64>),
+    /// What the leader has learned of harm, for the next one.
+    Learned(Lesson),
 }
 
 /// A run for a worker.
@@ -109,6 +111,7 @@
             Change::Ended { .. } => "ended",
             Change::WorkerLost { .. } => "worker_lost",
             Change::Forget(_) => "forget",
+            Change::Learned(_) => "learned",
         }
     }
 
--- a/crates/pond-job/src/lead/harm.rs
+++ b/crates/pond-job/src/lead/harm.rs
@@ -10,6 +10,7 @@
 use super::load::Load;
 use super::pressure::{SATURATED, Scale};
 use super::regression::{Regression, Tuning};
+use crate::lesson::{Image, Lesson};
 use crate::state::State;
 
 /// Filling work is placed only where pressures are expected to stay this far below those at which
@@ -49,6 +50,24 @@
 }
 
 impl Harm {
+    /// What was written down, as it is worth now on the operators' clock.
+    pub fn recall(lesson: &Lesson, wall: Millis) -> Harm {
+        let age_ms = wall.since(lesson.at);
+        let model = |image: &Image| Model {
+            scale: Scale::recall(f64::from(image.idle_ms)),
+            added: Regression::recall(image, age_ms, TUNING),
+        };
+        let models = lesson.images.iter().map(|(name, image)| (name.clone(), model(image)));
+        Harm { models: models.collect(), ..Harm::default() }
+    }
+
+    /// Writes down what may help the next leader. Loads change within seconds and are left out.
+    pub fn write(&self, wall: Millis) -> Lesson {
+        let image = |model: &Model| model.added.write(model.scale.idle_ms());
+        let images = self.models.iter().map(|(name, model)| (name.clone(), image(model)));
+        Lesson { at: wall, images: images.collect() }
+    }
+
     /// Learns from the figures of a report.
     pub fn learn(&mut self, state: &State, now: Millis, report: &Report) {
         let used = self.used_lately(state, report);
--- a/crates/pond-job/src/lead/mod.rs
+++ b/crates/pond-job/src/lead/mod.rs
@@ -32,6 +32,7 @@
 use pond_proto::{Millis, Span};
 
 use crate::change::{Change, Reply};
+use crate::lesson::Lesson;
 use crate::state::State;
 
 use advice::Adviser;
@@ -57,6 +58,10 @@
 /// a commit with a slow disk.
 const PROPOSE_AGAIN_MS: Span = 3_000;
 
+/// Time between entries of the log with what was learned, in milliseconds: a few kilobytes each, and
+/// a new leader learns in about as long as that what is lost.
+const LESSON_MS: Span = 2_000;
+
 /// Decides for a replica while it leads.
 #[derive(Debug)]
 pub struct Leader {
@@ -91,6 +96,8 @@
     dirty: BTreeSet<String>,
     /// When this replica last looked at what is overdue.
     looked: Millis,
+    /// When what was learned was last written down.
+    written: Millis,
     /// Ended jobs, and when this replica learned of it.
     ended: BTreeMap<u64, Millis>,
     outputs: Vec<Output>,
@@ -116,11 +123,18 @@
             waits: BTreeMap::new(),
             dirty: BTreeSet::new(),
             looked: Millis(0),
+            written: now,
             ended: BTreeMap::new(),
             outputs: Vec::new(),
         }
     }
 
+    /// Goes on with what former leaders learned.
+    pub fn with_lesson(mut self, lesson: &Lesson, wall: Millis) -> Leader {
+        self.harm = Harm::recall(lesson, wall);
+        self
+    }
+
     /// An agent reports.
     pub fn report(&mut self, state: &State, now: Millis, link: u64, agent: &str, report: Report) {
         let life = report.worker.clone();
@@ -208,6 +222,7 @@
                 self.forget_old(state, now);
                 self.touch_unsettled(state, now);
                 self.ask_about_placed(state, now);
+                self.write_lesson(state, now, wall);
             }
             self.plan(state, now, wall);
             self.send_orders(state, now);
@@ -215,6 +230,18 @@
         std::mem::take(&mut self.outputs)
     }
 
+    /// Proposes to keep what was learned since the last time.
+    fn write_lesson(&mut self, state: &State, now: Millis, wall: Millis) {
+        if now.since(self.written) < LESSON_MS {
+            return;
+        }
+        self.written = now;
+        let lesson = self.harm.write(wall);
+        if lesson.images != state.lesson().images {
+            self.outputs.push(Output::Propose(Change::Learned(lesson)));
+        }
+    }
+
     /// Runs that are placed nowhere need no stop.
     fn drop_lost_runs(&mut self, state: &State) {
         self.unwanted.retain(|run| {
--- a/crates/pond-job/src/lead/pressure.rs
+++ b/crates/pond-job/src/lead/pressure.rs
@@ -41,6 +41,16 @@
         Scale { idle_ms: IDLE_SHARE * f64::from(target_ms.max(1)) }
     }
 
+    /// The scale with that tail on an idle worker.
+    pub fn recall(idle_ms: f64) -> Scale {
+        Scale { idle_ms }
+    }
+
+    /// The tail on an idle worker, in milliseconds.
+    pub fn idle_ms(&self) -> f64 {
+        self.idle_ms
+    }
+
     /// A tail was measured, in milliseconds: a shorter one than any before corrects the scale.
     pub fn learn(&mut self, tail_ms: u32) {
         self.idle_ms = self.idle_ms.min(LEAST_LOADED_SPARE * f64::from(tail_ms.max(1)));
--- a/crates/pond-job/src/lead/regression.rs
+++ b/crates/pond-job/src/lead/regression.rs
@@ -5,6 +5,14 @@
 
 use std::collections::BTreeMap;
 
+use pond_proto::Span;
+
+use crate::lesson::Image;
+
+/// Growth of a coefficient's variance with each second in which nobody measured: about ten
+/// measurements a second come in otherwise.
+const FORGETTING: f64 = 0.02;
+
 /// A model of a measurement as a sum of coefficients times amounts.
 #[derive(Clone, Debug)]
 pub struct Regression {
@@ -42,6 +50,37 @@
         Regression { places: BTreeMap::new(), means: Vec::new(), spread: Vec::new(), tuning }
     }
 
+    /// The model that was written down this long ago, in milliseconds.
+    pub fn recall(image: &Image, age_ms: Span, tuning: Tuning) -> Regression {
+        let mut spread: Vec<Vec<f64>> =
+            image.spread.iter().map(|row| row.iter().map(|x| f64::from(*x)).collect()).collect();
+        let growth = FORGETTING * age_ms as f64 / 1_000.0;
+        for (i, row) in spread.iter_mut().enumerate() {
+            row[i] = (row[i] + growth).min(tuning.variance).max(row[i]);
+        }
+        Regression {
+            places: image.fillers.iter().cloned().zip(0..).collect(),
+            means: image.means.iter().map(|mean| f64::from(*mean)).collect(),
+            spread,
+            tuning,
+        }
+    }
+
+    /// Writes the model down.
+    pub fn write(&self, idle_ms: f64) -> Image {
+        let mut fillers = vec![String::new(); self.means.len()];
+        for (term, place) in &self.places {
+            fillers[*place] = term.clone();
+        }
+        let row = |row: &Vec<f64>| row.iter().map(|x| *x as f32).collect();
+        Image {
+            idle_ms: idle_ms as f32,
+            fillers,
+            means: self.means.iter().map(|mean| *mean as f32).collect(),
+            spread: self.spread.iter().map(row).collect(),
+        }
+    }
+
     /// The coefficient of a term.
     pub fn coefficient(&self, term: &str) -> f64 {
         self.places.get(term).map_or(self.tuning.mean, |place| self.means[*place])
--- /dev/null
+++ b/crates/pond-job/src/lesson.rs
@@ -0,0 +1,29 @@
+//! What a leader has learned of harm, as it is kept in the replicated state for the next one.
+
+use std::collections::BTreeMap;
+
+use pond_proto::Millis;
+use serde::{Deserialize, Serialize};
+
+/// What filling images do to serving ones.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Lesson {
+    /// When it was written down, on the operators' clock of the leader of that time.
+    pub at: Millis,
+    /// By the image of the serving tasks.
+    pub images: BTreeMap<String, Image>,
+}
+
+/// What is known of the serving tasks of an image. Four bytes a figure are enough: the figures are
+/// uncertain by more than a hundredth.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Image {
+    /// The tail on an idle worker, in milliseconds.
+    pub idle_ms: f32,
+    /// The filling images, in the order of `means` and `spread`.
+    pub fillers: Vec<String>,
+    /// What each adds to the pressure, over shares of the worker's processors.
+    pub means: Vec<f32>,
+    /// Covariances of the means, row by row.
+    pub spread: Vec<Vec<f32>>,
+}
--- a/crates/pond-job/src/lib.rs
+++ b/crates/pond-job/src/lib.rs
@@ -8,10 +8,12 @@
 mod configuration;
 mod job;
 mod lead;
+mod lesson;
 mod state;
 
 pub use change::{Change, End, Reply, Start};
 pub use configuration::{Advice, Configuration, Invalid, Limits, Pool, Queue};
 pub use job::{Job, Task};
 pub use lead::{Decision, Leader, Obstacle, Obstacles, Output, Permit, Question, StepName, Terms};
+pub use lesson::Lesson;
 pub use state::State;
--- a/crates/pond-job/src/state/mod.rs
+++ b/crates/pond-job/src/state/mod.rs
@@ -11,6 +11,7 @@
 use crate::change::{Change, Reply};
 use crate::configuration::Configuration;
 use crate::job::{Job, Task, longest_chain};
+use crate::lesson::Lesson;
 
 /// Most tasks of one job; more are refused, so that one job cannot fill the memory: a task takes
 /// some hundred bytes, so this many take a few megabytes.
@@ -29,6 +30,9 @@
     settled: BTreeMap<String, u64>,
     /// The agents beside lives of workers that have runs.
     agents: BTreeMap<String, String>,
+    /// What former leaders learned of harm. (Snapshots of earlier versions have none.)
+    #[serde(default)]
+    lesson: Lesson,
 }
 
 impl State {
@@ -83,6 +87,11 @@
         self.settled.get(worker).copied().unwrap_or(0)
     }
 
+    /// What former leaders learned of harm.
+    pub fn lesson(&self) -> &Lesson {
+        &self.lesson
+    }
+
     /// How many jobs of a queue wait with no task begun. Repeated jobs do not count.
     pub fn waiting(&self, queue: &str) -> u64 {
         let waits = |job: &&Job| {
@@ -117,6 +126,10 @@
             Change::Ended { worker, ends, unstarted } => self.end(&worker, ends, &unstarted),
             Change::WorkerLost { worker, saves, over } => self.lose(&worker, saves, over),
             Change::Forget(ids) => self.forget(&ids),
+            Change::Learned(lesson) => {
+                self.lesson = lesson;
+                Reply::Accepted
+            }
         }
     }
 
--- a/crates/pond-job/tests/harm.rs
+++ b/crates/pond-job/tests/harm.rs
@@ -190,3 +190,22 @@
     assert_eq!(bench.place_of(run.task).as_deref(), Some("a"));
     assert_eq!(moved(&bench).len(), before);
 }
+
+#[test]
+fn new_leader_knows_what_the_former_one_learned_of_harm() {
+    let mut bench = beside(&["loud"]);
+    disturb(&mut bench);
+    let run = bench.stopped("a")[0];
+    bench.end("a", run, How::Stopped);
+    for _ in 0..5 {
+        show(&mut bench, "a", &[(1, 6)]);
+    }
+    bench.cancel(run.task.job);
+    bench.replace_leader();
+    show(&mut bench, "a", &[(1, 6)]);
+    bench.submit_batch(9, vec![filling("loud")]);
+    bench.submit_batch(10, vec![filling("other")]);
+    show(&mut bench, "a", &[(1, 6)]);
+    let placed = [9, 10].map(|job| bench.place_of(task(job, 0, 0)).is_some());
+    assert_eq!(placed, [false, true]);
+}
--- a/crates/pond-job/tests/support/mod.rs
+++ b/crates/pond-job/tests/support/mod.rs
@@ -145,7 +145,8 @@
 
     /// Another replica leads, which knows only the log.
     pub fn replace_leader(&mut self) {
-        self.leader = Leader::new(8, terms(), self.now);
+        let leader = Leader::new(8, terms(), self.now);
+        self.leader = leader.with_lesson(self.state.lesson(), self.now);
     }
 
     /// A worker reports what it has, with its clock as it stands.
--- a/crates/pond-replica/src/audit.rs
+++ b/crates/pond-replica/src/audit.rs
@@ -58,7 +58,7 @@
             }
             Change::Start(starts) => self.log_starts(starts),
             Change::Ended { worker, ends, unstarted } => self.log_ends(worker, ends, unstarted),
-            Change::WorkerLost { .. } | Change::Forget(_) => {}
+            Change::WorkerLost { .. } | Change::Forget(_) | Change::Learned(_) => {}
         }
         if let Reply::Ended(jobs) = reply {
             self.log_ended_jobs(jobs);
