What one image does to another is believed for longer

Hypothesis: knowledge of harm that is lost costs room for filling work: a pair that looks uncertain is judged by the last few half seconds, and loads that swing are taken for harm.

--- a/crates/pond-job/src/lead/regression.rs
+++ b/crates/pond-job/src/lead/regression.rs
@@ -11,7 +11,7 @@
 
 /// Growth of a coefficient's variance with each second in which nobody measured: about ten
 /// measurements a second come in otherwise.
-const FORGETTING: f64 = 0.02;
+const FORGETTING: f64 = 0.001;
 
 /// A model of a measurement as a sum of coefficients times amounts.
 #[derive(Clone, Debug)]
