Trials of waiting work: room is plenty from 40 percent on, two on a worker, a line for each

About half of the room was free, so the shorter patience flapped, and each worker had a trial already, which its agent had halted. Change: the shorter patience holds while more than 40 percent are free; up to two trials on a worker; event 621 tells of each.

--- a/crates/pond-job/src/lead/candidate.rs
+++ b/crates/pond-job/src/lead/candidate.rs
@@ -56,8 +56,8 @@
     pub fillers: Vec<Filler>,
     /// How many more runs it may be given that end by themselves.
     pub more: usize,
-    /// It has a task that was started there although it was expected to disturb.
-    pub tried: bool,
+    /// Tasks that were started there although they were expected to disturb.
+    pub tried: usize,
     /// It gets nothing at all.
     pub resting: bool,
     /// How many tasks of each time and step of a job it has.
@@ -80,7 +80,7 @@
             served: Vec::new(),
             fillers: Vec::new(),
             more: usize::MAX,
-            tried: false,
+            tried: 0,
             resting: false,
             steps: BTreeMap::new(),
         }
--- a/crates/pond-job/src/lead/harm.rs
+++ b/crates/pond-job/src/lead/harm.rs
@@ -27,12 +27,11 @@
 const FADING: f64 = 0.5;
 
 /// Pressures over shares of the worker's processors. About half of all pairs of images do not harm
-/// each other, others press with up to five times their share;
-/// about two reports a second come from each worker, but what one image does to another hardly
-/// changes: certainty that is kept buys filling work that is done in time. (Mean worth of 45 days with
-/// a growth of 0.002, 0.0004 and 0.0001: 0.501, 0.520, 0.530, standard error of a difference 0.006;
-/// with coefficients that go back to the first mean by 0.003 a measurement 0.475. First means of 0.4 to
-/// 1.5 measure alike.)
+/// each other, others press with up to five times their share. About two reports a second come from
+/// each worker, but what one image does to another hardly changes: certainty that is kept buys
+/// filling work that is done in time. (Mean worth of 45 days with a growth of 0.002, 0.0004 and
+/// 0.0001: 0.501, 0.520, 0.530, standard error of a difference 0.006; with coefficients that go back
+/// to the first mean by 0.003 a measurement 0.475. First means of 0.4 to 1.5 measure alike.)
 const TUNING: Tuning = Tuning { mean: 0.8, variance: 2.5, growth: 0.0001 };
 
 /// What is learned, by the image of the serving tasks.
--- a/crates/pond-job/src/lead/output.rs
+++ b/crates/pond-job/src/lead/output.rs
@@ -98,6 +98,15 @@
         /// What keeps the workers from taking the first of them.
         obstacles: Obstacles,
     },
+    /// A task has waited too long for what is only expected, and is started all the same.
+    Tried {
+        /// The run.
+        run: RunName,
+        /// Its worker.
+        worker: String,
+        /// How long its job has waited, in milliseconds.
+        waited_ms: Span,
+    },
     /// A worker gets nothing for a while.
     Sick {
         /// Its life.
@@ -116,6 +125,7 @@
             Decision::Stalled { .. } => "stalled",
             Decision::Moved { .. } => "moved",
             Decision::Waiting { .. } => "waiting",
+            Decision::Tried { .. } => "tried",
             Decision::Sick { .. } => "sick",
         }
     }
--- a/crates/pond-job/src/lead/overdue.rs
+++ b/crates/pond-job/src/lead/overdue.rs
@@ -7,25 +7,32 @@
 use pond_proto::job::{RunName, TaskName};
 use pond_proto::{Millis, Span};
 
-use super::Leader;
 use super::candidate::Candidate;
 use super::ready::Ready;
 use super::wait::{Obstacle, Obstacles};
+use super::{Decision, Leader, Output};
 use crate::change::Start;
 use crate::job::Task;
 use crate::state::State;
 
-/// A job of which nothing runs waits this long for a guess while most of the room is free, in
-/// milliseconds: below the three seconds that platforms bear, by some plans and a commit.
+/// Room is plenty while more than this share of it is free, in percent: platforms count it as plenty
+/// from a half on, and what is free wavers by some percent.
+const PLENTY_PERCENT: u64 = 40;
+
+/// Tasks on a worker that are being tried at most: more of them would tell nothing new.
+const MOST_TRIED: usize = 2;
+
+/// A job of which nothing runs waits this long for a guess while room is plenty, in milliseconds:
+/// below the three seconds that platforms bear, by some plans and a commit.
 const PATIENCE_MS: Span = 2_000;
 
-/// The same while less than half of the room is free, in milliseconds: then waiting is the rule and
-/// a trial takes from others; this is a bound and no more.
+/// The same while room is scarce, in milliseconds: then waiting is the rule and a trial takes from
+/// others; this is a bound and no more.
 const LONG_PATIENCE_MS: Span = 20_000;
 
 impl Leader {
     /// Starts one task of each job of which nothing runs and that has waited too long, where it is
-    /// expected to disturb least; at most one such task on a worker. The agent there slows it down
+    /// expected to disturb least; at most two such tasks on a worker. The agent there slows it down
     /// if it does harm after all.
     pub(super) fn try_overdue(
         &mut self,
@@ -36,10 +43,10 @@
         starts: &mut Vec<Start>,
     ) {
         self.tried.retain(|run| is_placed(state, *run));
-        let patience = if mostly_free(candidates) { PATIENCE_MS } else { LONG_PATIENCE_MS };
+        let patience = if plenty(candidates) { PATIENCE_MS } else { LONG_PATIENCE_MS };
         for (group, _) in blocked {
-            let wait = self.waits.get(&group.id);
-            let overdue = wait.is_some_and(|wait| now.since(wait.since) >= patience);
+            let waited_ms = self.waits.get(&group.id).map_or(0, |wait| now.since(wait.since));
+            let overdue = waited_ms >= patience;
             let begun = starts.iter().any(|start| start.run.task.job == group.id);
             // The tasks of a gang have to start together.
             if !overdue || group.job.placed > 0 || begun || group.step.gang {
@@ -50,9 +57,11 @@
             let Some(found) = self.least_disturbed(now, group, task, candidates) else { continue };
             let run = RunName { task, number: group.tasks()[index].run + 1 };
             candidates[found].take(task, group.step, group.served.clone());
-            candidates[found].tried = true;
+            candidates[found].tried += 1;
             starts.push(candidates[found].start(run));
             self.tried.insert(run);
+            let worker = candidates[found].life.clone();
+            self.outputs.push(Output::Decided(Decision::Tried { run, worker, waited_ms }));
         }
     }
 
@@ -72,8 +81,9 @@
             let advised = group.job.advice.is_some();
             !advised || self.adviser.ticket(now, task.into(), &candidate.life).is_some()
         };
-        let open =
-            |candidate: &Candidate| !candidate.tried && guess(candidate) && ticket(candidate);
+        let open = |candidate: &Candidate| {
+            candidate.tried < MOST_TRIED && guess(candidate) && ticket(candidate)
+        };
         let excess = |candidate: &Candidate| candidate.excess_with(group.step, &self.harm);
         let found = candidates.iter().enumerate().filter(|(_, candidate)| open(candidate));
         found.min_by(|(_, a), (_, b)| excess(a).total_cmp(&excess(b))).map(|(i, _)| i)
@@ -86,9 +96,9 @@
     task.is_some_and(|task| task.run == run.number && task.worker.is_some())
 }
 
-/// Whether more than half of the processors that tasks ask for are free.
-fn mostly_free(candidates: &[Candidate]) -> bool {
+/// Whether room is plenty, in processors that tasks ask for.
+fn plenty(candidates: &[Candidate]) -> bool {
     let all: u64 = candidates.iter().map(|candidate| u64::from(candidate.processors)).sum();
     let free: u64 = candidates.iter().map(|candidate| u64::from(candidate.free.milli_cpu)).sum();
-    free * 2 > all
+    free * 100 > all * PLENTY_PERCENT
 }
--- a/crates/pond-job/src/lead/plan.rs
+++ b/crates/pond-job/src/lead/plan.rs
@@ -107,7 +107,7 @@
         // Health counts the runs there itself, so this comes after they were taken.
         candidate.more = health.map_or(usize::MAX, |health| health.allowed(now, passing));
         candidate.resting = health.is_some_and(|health| health.resting(now));
-        candidate.tried = placed.iter().any(|(run, _)| self.tried.contains(run));
+        candidate.tried = placed.iter().filter(|(run, _)| self.tried.contains(run)).count();
         candidate
     }
 
--- a/crates/pond-log/src/events.rs
+++ b/crates/pond-log/src/events.rs
@@ -151,6 +151,8 @@
         "look at the adviser; it is asked again";
     JOB_WAITS = 620, Info, "tasks of a job find no place",
         "see which obstacle counts most workers; rest points to sick workers, room to a full pool";
+    RUN_TRIED = 621, Info, "a task that is expected to disturb has waited too long and is started",
+        "nothing: its agent slows it down if need be";
     ADVISED = 619, Info, "the adviser said which workers may run a step", "nothing";
 }
 
--- a/crates/pond-replica/src/audit.rs
+++ b/crates/pond-replica/src/audit.rs
@@ -33,6 +33,10 @@
                     "busy" => count(Obstacle::Busy),
                     "no_ticket" => count(Obstacle::NoTicket), "harm" => count(Obstacle::Harm));
             }
+            Decision::Tried { run, worker, waited_ms } => {
+                event!(self.log, RUN_TRIED, "run" => run.to_string(), "worker" => worker,
+                    "waited_ms" => waited_ms);
+            }
             Decision::Sick { worker, for_ms } => {
                 event!(self.log, WORKER_SICK, "worker" => worker, "for_ms" => for_ms);
             }
