--- a/crates/pond-agent/tests/core.rs
+++ b/crates/pond-agent/tests/core.rs
@@ -495,3 +495,18 @@
     bench.pass(1_000);
     assert!(bench.count(is_look) > 0);
 }
+
+#[test]
+fn run_found_at_the_start_of_an_agent_is_told_its_pace_anew() {
+    // A former life of the agent may have halted it; nothing on the worker's lists tells.
+    let mut bench = Bench::new();
+    bench.list(&[1], &[]);
+    let watches = vec![filling(1, "", 0)];
+    bench.order(Order { lease_end_ms: 56_000, watches, ..Order::default() });
+    bench.pass(1_000);
+    bench.list(&[1], &[]);
+    assert_eq!(bench.obey_paces(), [(1, 100)]);
+    bench.pass(1_000);
+    bench.list(&[1], &[]);
+    assert!(bench.obey_paces().is_empty());
+}
