Trials go to the job that has stood still for longest, without a bound on places

Cause: trials of work that only a belief keeps waiting were given in the order of urgency, two on a worker. A begun job came first again after each task, so jobs at the end of that order stood still for good while room was free. What keeps workers from a task has a file of its own.

--- a/crates/pond-job/src/lead/candidate.rs
+++ b/crates/pond-job/src/lead/candidate.rs
@@ -10,7 +10,7 @@
 use super::advice::StepName;
 use super::beside::{Filler, Served};
 use super::harm::Harm;
-use super::wait::Obstacle;
+use super::obstacle::Obstacle;
 use super::worker::Worker;
 
 /// A serving task uses about this share of the processors that it asks for, in percent: it asks for
@@ -121,11 +121,9 @@
     /// What keeps a task from running there now, the most lasting reason first; none if nothing but
     /// harm does.
     pub fn obstacle(&self, pool: &str, task: TaskName, step: &Step) -> Option<Obstacle> {
-        // A lasting task tells nothing about a worker's health for long, so it is no probe.
-        let sound = if step.lasting { !self.resting } else { self.more > 0 };
         if !self.allows(pool, task, step) {
             Some(Obstacle::Elsewhere)
-        } else if !sound {
+        } else if !self.sound_for(step) {
             Some(Obstacle::Resting)
         } else if !step.size().fits(self.free) {
             Some(Obstacle::NoRoom)
@@ -138,8 +136,23 @@
         }
     }
 
+    /// Whether a task has room there, and nothing but beliefs that may be wrong keeps it away: harm,
+    /// what serving tasks use, and those that `overlooked` names.
+    pub fn admits(&self, pool: &str, task: TaskName, step: &Step, overlooked: &[Obstacle]) -> bool {
+        let overlooks = |obstacle| overlooked.contains(&obstacle);
+        let kept = if overlooks(Obstacle::Kept) { Size::default() } else { self.kept };
+        let sound = overlooks(Obstacle::Resting) || self.sound_for(step);
+        self.allows(pool, task, step) && sound && step.size().fits(minus(self.free, kept))
+    }
+
+    /// Whether the worker neither rests nor is being probed. A lasting task tells nothing about a
+    /// worker's health for long, so it is no probe.
+    pub fn sound_for(&self, step: &Step) -> bool {
+        if step.lasting { !self.resting } else { self.more > 0 }
+    }
+
     /// Whether a task could ever run there.
-    fn allows(&self, pool: &str, task: TaskName, step: &Step) -> bool {
+    pub fn allows(&self, pool: &str, task: TaskName, step: &Step) -> bool {
         let held = self.steps.get(&task.into()).copied().unwrap_or(0);
         let apart = step.most_per_worker == 0 || held < step.most_per_worker;
         let labelled = step.required_label.is_empty() || self.labels.contains(&step.required_label);
--- a/crates/pond-job/src/lead/mod.rs
+++ b/crates/pond-job/src/lead/mod.rs
@@ -14,6 +14,7 @@
 mod harm;
 mod health;
 mod load;
+mod obstacle;
 mod order;
 mod output;
 mod overdue;
@@ -43,8 +44,8 @@
 use worker::Worker;
 
 pub use advice::{Permit, Question, StepName};
+pub use obstacle::{Obstacle, Obstacles};
 pub use output::{Decision, Output, Terms};
-pub use wait::{Obstacle, Obstacles};
 
 /// Time after which an order that shows no effect is sent again, in milliseconds. A report comes
 /// about every second and after each change.
--- a/crates/pond-job/src/lead/output.rs
+++ b/crates/pond-job/src/lead/output.rs
@@ -5,7 +5,7 @@
 use pond_proto::job::RunName;
 
 use super::advice::Question;
-use super::wait::Obstacles;
+use super::obstacle::Obstacles;
 use crate::change::Change;
 
 /// Times that the decisions depend on.
@@ -91,8 +91,10 @@
         tasks: usize,
         /// How many tasks of the job have a place.
         placed: usize,
-        /// How long the job has waited, in milliseconds.
+        /// How long tasks of the job have found no place, in milliseconds.
         since_ms: Span,
+        /// How long nothing of the job has run besides, in milliseconds.
+        still_ms: Span,
         /// The image of the step.
         image: String,
         /// What keeps the workers from taking the first of them.
@@ -104,8 +106,8 @@
         run: RunName,
         /// Its worker.
         worker: String,
-        /// How long its job has waited, in milliseconds.
-        waited_ms: Span,
+        /// How long nothing of its job has run, in milliseconds.
+        still_ms: Span,
     },
     /// A worker gets nothing for a while.
     Sick {
--- a/crates/pond-job/src/lead/overdue.rs
+++ b/crates/pond-job/src/lead/overdue.rs
@@ -1,17 +1,24 @@
-//! Work that nothing but a guess keeps waiting is tried after a while, one task at a time.
+//! Work that nothing but a belief keeps waiting is tried after a while, one task of a job at a time.
 //!
-//! What is learned of harm and what serving tasks are taken to use may be wrong, and loads change.
-//! Without a bound a job whose image is taken to disturb everywhere would wait for ever with most
-//! of the room free, as on two of 45 days without this. The trials cost no worth that can be seen
-//! (+0.000, standard error 0.002) and some time of serving tasks over their targets (160 instead of
-//! 144 s a day, mean of 45 days).
+//! What is learned of harm, of health and of what serving tasks use may be wrong, and loads change.
+//! What is not placed shows nothing, so such a belief is never put to the test by itself. Without a
+//! bound a job whose image is taken to disturb everywhere would wait for ever with most of the room
+//! free, as on two of 45 days without trials.
+//!
+//! Trials go to the job that has stood still for longest. In the order of urgency a begun job came
+//! first again after each of its tasks, and one at the end of that order stood still for 30 s while 46
+//! others had 234 trials. A job that has had a trial does not wait for its patience again: its next
+//! one would start only after two seconds in which nothing of it runs.
+
+use std::cmp::Reverse;
 
 use pond_proto::job::{RunName, TaskName};
 use pond_proto::{Millis, Span};
 
 use super::candidate::Candidate;
+use super::obstacle::{Obstacle, Obstacles};
 use super::ready::Ready;
-use super::wait::{Obstacle, Obstacles};
+use super::wait::Wait;
 use super::{Decision, Leader, Output};
 use crate::change::Start;
 use crate::job::Task;
@@ -21,21 +28,38 @@
 /// from a half on, and what is free wavers by some percent.
 const PLENTY_PERCENT: u64 = 40;
 
-/// Tasks on a worker that are being tried at most: more of them would tell nothing new.
+/// Tasks on a worker that are being tried at most, while jobs can wait for their turn: more of them
+/// would tell nothing new.
 const MOST_TRIED: usize = 2;
 
-/// A job of which nothing runs waits this long for a guess while room is plenty, in milliseconds:
-/// below the three seconds that platforms bear, by some plans and a commit.
-const PATIENCE_MS: Span = 2_000;
+/// A job waits this long for a belief before its first trial while room is plenty, in milliseconds: below
+/// the three seconds that platforms bear, by the wait for a place and a commit. After a trial the next
+/// one comes as soon as there is a place.
+pub(super) const PATIENCE_MS: Span = 2_000;
 
-/// The same while room is scarce, in milliseconds: then waiting is the rule and a trial takes from
-/// others; this is a bound and no more.
+/// A job whose trial is due waits this long for a place among those that are tried, in milliseconds: with
+/// more jobs than places the wait would have no bound. Together with the patience half a second less
+/// than platforms bear, for a commit, an order and a start.
+const TURN_MS: Span = 500;
+
+/// A job waits this long while room is scarce, in milliseconds: then waiting is the rule and a trial
+/// takes from others. Jobs take turns; with more of them than places each waits in proportion. One that
+/// stands still for as long gets room that is kept for others, and is tried on workers that rest if
+/// all do: twice the longest rest, as a failure costs it one of its attempts.
 const LONG_PATIENCE_MS: Span = 20_000;
 
+/// What a trial may ask of the workers.
+#[derive(Clone, Copy)]
+struct Boldness {
+    /// Tried tasks on a worker at most.
+    most_tried: usize,
+    /// Room that is kept for others is taken, and workers need not be sound where none is.
+    desperate: bool,
+}
+
 impl Leader {
-    /// Starts one task of each job of which nothing runs and that has waited too long, where it is
-    /// expected to disturb least; at most two such tasks on a worker. The agent there slows it down
-    /// if it does harm after all.
+    /// Starts one task of each job that has stood still for too long, where it is expected to disturb
+    /// least. The agent there slows it down if it does harm after all.
     pub(super) fn try_overdue(
         &mut self,
         state: &State,
@@ -45,48 +69,124 @@
         starts: &mut Vec<Start>,
     ) {
         self.tried.retain(|run| is_placed(state, *run));
-        let patience = if plenty(candidates) { PATIENCE_MS } else { LONG_PATIENCE_MS };
-        for (group, _) in blocked {
-            let waited_ms = self.waits.get(&group.id).map_or(0, |wait| now.since(wait.since));
-            let overdue = waited_ms >= patience;
+        let plenty = plenty(candidates);
+        let patience_ms = if plenty { PATIENCE_MS } else { LONG_PATIENCE_MS };
+        for (group, wait) in self.longest_still(now, blocked) {
             let begun = starts.iter().any(|start| start.run.task.job == group.id);
-            // The tasks of a gang have to start together.
-            if !overdue || group.job.placed > 0 || begun || group.step.gang {
+            let waited_ms = now.since(wait.since);
+            if wait.still.is_none() || waited_ms < patience_ms || begun {
                 continue;
             }
-            let Some(index) = group.tasks().iter().position(Task::waits) else { continue };
-            let task = group.task(index);
-            let Some(found) = self.least_disturbed(now, group, task, candidates) else { continue };
-            let run = RunName { task, number: group.tasks()[index].run + 1 };
-            candidates[found].take(task, group.step, group.served.clone());
-            candidates[found].tried += 1;
-            starts.push(candidates[found].start(run));
-            self.tried.insert(run);
-            let worker = candidates[found].life.clone();
-            self.outputs.push(Output::Decided(Decision::Tried { run, worker, waited_ms }));
+            let still_ms = wait.still_ms(now);
+            let due_ms = still_ms.min(waited_ms - patience_ms);
+            let boldness = Boldness {
+                most_tried: if plenty && due_ms >= TURN_MS { usize::MAX } else { MOST_TRIED },
+                desperate: still_ms >= LONG_PATIENCE_MS,
+            };
+            for start in self.trial(now, group, boldness, candidates) {
+                let (run, worker) = (start.run, start.worker.clone());
+                self.tried.insert(run);
+                self.outputs.push(Output::Decided(Decision::Tried { run, worker, still_ms }));
+                starts.push(start);
+            }
         }
     }
 
-    /// The place of the candidate on which a task is expected to disturb least, whatever that is.
+    /// The groups that wait, those whose jobs have stood still for longest first, then in the order of
+    /// the plan.
+    fn longest_still<'a>(
+        &self,
+        now: Millis,
+        blocked: &[(&'a Ready<'a>, Obstacles)],
+    ) -> Vec<(&'a Ready<'a>, Wait)> {
+        let wait =
+            |(group, _): &(&'a Ready<'a>, Obstacles)| Some((*group, *self.waits.get(&group.id)?));
+        let mut groups: Vec<_> = blocked.iter().filter_map(wait).collect();
+        groups.sort_by_key(|(_, wait)| Reverse(wait.still_ms(now)));
+        groups
+    }
+
+    /// Starts for one waiting task of a group, or for all tasks of a gang, as they have to start
+    /// together; none if there is no place.
+    fn trial(
+        &self,
+        now: Millis,
+        group: &Ready<'_>,
+        boldness: Boldness,
+        candidates: &mut [Candidate],
+    ) -> Vec<Start> {
+        let tasks = group.tasks();
+        if group.step.gang && !tasks.iter().all(Task::waits) {
+            return Vec::new();
+        }
+        let waiting = tasks.iter().enumerate().filter(|(_, task)| task.waits());
+        let count = if group.step.gang { tasks.len() } else { 1 };
+        let number = |task: &Task| {
+            let newest =
+                if group.step.gang { tasks.iter().map(|task| task.run).max() } else { None };
+            newest.unwrap_or(task.run) + 1
+        };
+        let mut after = candidates.to_vec();
+        let mut starts = Vec::new();
+        for (index, task) in waiting.take(count) {
+            let name = group.task(index);
+            let found = self.least_disturbed(now, group, name, boldness, &after);
+            let Some(found) = found else { return Vec::new() };
+            after[found].take(name, group.step, group.served.clone());
+            after[found].tried += 1;
+            starts.push(after[found].start(RunName { task: name, number: number(task) }));
+        }
+        candidates.clone_from_slice(&after);
+        starts
+    }
+
+    /// The place of the candidate on which a task is expected to disturb least, whatever that is; one on
+    /// which it did not fail before, if there is any.
     fn least_disturbed(
         &self,
         now: Millis,
         group: &Ready<'_>,
         task: TaskName,
+        boldness: Boldness,
         candidates: &[Candidate],
     ) -> Option<usize> {
-        let guess = |candidate: &Candidate| {
-            let obstacle = candidate.obstacle(&group.job.pool, task, group.step);
-            obstacle.is_none_or(|there| there == Obstacle::Busy)
-        };
+        let overlooked = overlooked(group, task, boldness, candidates);
         let open = |candidate: &Candidate| {
             let lacking = self.lacks_ticket(now, group, task, &candidate.life);
-            candidate.tried < MOST_TRIED && guess(candidate) && !lacking
+            let admitted = candidate.admits(&group.job.pool, task, group.step, &overlooked);
+            admitted && candidate.tried < boldness.most_tried && !lacking
+        };
+        let avoided = self.avoided.get(&task);
+        let failed = |candidate: &Candidate| {
+            avoided.is_some_and(|avoided| avoided.contains(&candidate.life))
         };
         let excess = |candidate: &Candidate| candidate.excess_with(group.step, &self.harm);
         let found = candidates.iter().enumerate().filter(|(_, candidate)| open(candidate));
-        found.min_by(|(_, a), (_, b)| excess(a).total_cmp(&excess(b))).map(|(i, _)| i)
+        let key = |candidate: &Candidate| (failed(candidate), excess(candidate));
+        let least = |(_, a): &(usize, &Candidate), (_, b): &(usize, &Candidate)| {
+            let ((a_failed, a_excess), (b_failed, b_excess)) = (key(a), key(b));
+            a_failed.cmp(&b_failed).then(a_excess.total_cmp(&b_excess))
+        };
+        found.min_by(least).map(|(i, _)| i)
+    }
+}
+
+/// The beliefs that a trial does not heed, besides harm and what serving tasks use. That a worker is
+/// sick is a comparison with others: where all that may run the task rest, it says little.
+fn overlooked(
+    group: &Ready<'_>,
+    task: TaskName,
+    boldness: Boldness,
+    candidates: &[Candidate],
+) -> Vec<Obstacle> {
+    if !boldness.desperate {
+        return Vec::new();
     }
+    let mut able =
+        candidates.iter().filter(|there| there.allows(&group.job.pool, task, group.step));
+    let all_rest = able.all(|there| !there.sound_for(group.step));
+    let rest = all_rest.then_some(Obstacle::Resting);
+    rest.into_iter().chain([Obstacle::Kept]).collect()
 }
 
 /// Whether a run is the newest of its task and has a worker.
@@ -95,7 +195,8 @@
     task.is_some_and(|task| task.run == run.number && task.worker.is_some())
 }
 
-/// Whether room is plenty, in processors that tasks ask for.
+/// Whether room is plenty, in processors that tasks ask for, of the workers that can be given
+/// something. Those that are silent are left out: what they have free is of no use.
 fn plenty(candidates: &[Candidate]) -> bool {
     let all: u64 = candidates.iter().map(|candidate| u64::from(candidate.processors)).sum();
     let free: u64 = candidates.iter().map(|candidate| u64::from(candidate.free.milli_cpu)).sum();
--- a/crates/pond-job/src/lead/plan.rs
+++ b/crates/pond-job/src/lead/plan.rs
@@ -4,8 +4,8 @@
 use pond_proto::{Millis, Span};
 
 use super::candidate::Candidate;
+use super::obstacle::{Obstacle, Obstacles};
 use super::ready::{Ready, ready};
-use super::wait::{Obstacle, Obstacles};
 use super::worker::Worker;
 use super::{Leader, Output, PROPOSE_AGAIN_MS};
 use crate::change::{Change, Start};
@@ -27,11 +27,11 @@
 
 /// A new leader waits this long for workers that had runs before it places serving tasks, in
 /// milliseconds.
-const KNOWN_MS: Span = 1_000;
+pub(super) const KNOWN_MS: Span = 1_000;
 
 /// A worker that has not reported for this long gets nothing, in milliseconds. Reports come every
 /// second.
-const FRESH_MS: Span = 2_500;
+pub(super) const FRESH_MS: Span = 2_500;
 
 impl Leader {
     /// Proposes starts for tasks whose turn has come, most urgent first.
@@ -52,15 +52,17 @@
         let mut candidates = self.candidates(state, now);
         let mut starts = Vec::new();
         let mut blocked = Vec::new();
+        let mut reached = 0;
         for group in &ready {
             if starts.len() >= STARTS {
                 break;
             }
+            reached += 1;
             if let Some(obstacles) = self.place(now, group, &mut candidates, &mut starts) {
                 blocked.push((group, obstacles));
             }
         }
-        self.note_waits(state, now, &blocked);
+        self.note_waits(state, now, wall, &blocked, &ready[reached..]);
         self.try_overdue(state, now, &blocked, &mut candidates, &mut starts);
         self.ask_about_ready(now, &ready, &candidates);
         if !starts.is_empty() {
@@ -82,7 +84,7 @@
 
     /// Whether all workers that have runs have reported since this replica leads, or have had the
     /// time for it.
-    fn knows_workers(&self, state: &State, now: Millis) -> bool {
+    pub(super) fn knows_workers(&self, state: &State, now: Millis) -> bool {
         now.since(self.since) >= KNOWN_MS
             || state.workers().all(|life| self.workers.contains_key(life))
     }
--- a/crates/pond-job/src/lead/wait.rs
+++ b/crates/pond-job/src/lead/wait.rs
@@ -1,11 +1,15 @@
-//! Why tasks whose turn has come wait: a line for each job that waits, bounded in number.
-
-use std::collections::BTreeMap;
+//! Jobs with tasks whose turn has come and that find no place: since when they wait, since when nothing
+//! of them runs, and a line for each, bounded in number.
 
+use pond_proto::job::Phase;
 use pond_proto::{Millis, Span};
 
+use super::obstacle::Obstacles;
+use super::overdue::PATIENCE_MS;
+use super::plan::{FRESH_MS, KNOWN_MS};
 use super::ready::Ready;
 use super::{Decision, Leader, Output};
+use crate::job::Job;
 use crate::state::State;
 
 /// A job that waits gets a line at most this often, in milliseconds, the first after as long.
@@ -15,92 +19,91 @@
 /// the log.
 const LINES: usize = 4;
 
-/// What keeps a worker from taking a task.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Obstacle {
-    /// Another pool, a missing label, or too many tasks of the step there.
-    Elsewhere,
-    /// The worker rests or is being probed after failures.
-    Resting,
-    /// Its room is taken.
-    NoRoom,
-    /// Its room is kept for a task that comes before.
-    Kept,
-    /// What serves and fills there uses the processors.
-    Busy,
-    /// The adviser has given no ticket.
-    NoTicket,
-    /// Serving tasks there would miss their targets.
-    Harm,
-}
+/// What a new leader counts at most of the time before it led, in milliseconds. The rest of the
+/// patience is for workers to report, so that nothing is tried only because they are not known yet.
+const INHERITED_MS: Span = PATIENCE_MS - KNOWN_MS;
 
-/// How many workers cannot take a task, by what is in the way.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Obstacles {
-    counts: BTreeMap<Obstacle, usize>,
+/// Since when a job waits.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Wait {
+    /// Since when tasks of it find no place.
+    pub since: Millis,
+    /// Since when nothing of it runs besides; none while something does.
+    pub still: Option<Millis>,
+    logged: Millis,
 }
 
-impl FromIterator<Obstacle> for Obstacles {
-    fn from_iter<I: IntoIterator<Item = Obstacle>>(obstacles: I) -> Obstacles {
-        let mut counts: BTreeMap<Obstacle, usize> = BTreeMap::new();
-        for obstacle in obstacles {
-            *counts.entry(obstacle).or_default() += 1;
-        }
-        Obstacles { counts }
+impl Wait {
+    /// Of a job that is seen waiting for the first time. One that was never begun has waited since it
+    /// was accepted, whoever led; of others only the former leader knew.
+    fn new(now: Millis, wall: Millis, job: &Job) -> Wait {
+        let begun = job.phase != Phase::Queued || job.spec.repeat.is_some();
+        let waited = if begun { 0 } else { wall.since(job.at).min(INHERITED_MS) };
+        let since = Millis(now.0.saturating_sub(waited));
+        Wait { since, still: Some(since), logged: now }
     }
-}
 
-impl Obstacles {
-    /// How many workers this keeps from taking the task.
-    pub fn count(&self, obstacle: Obstacle) -> usize {
-        self.counts.get(&obstacle).copied().unwrap_or(0)
+    /// For how long nothing of the job has run, in milliseconds.
+    pub fn still_ms(&self, now: Millis) -> Span {
+        self.still.map_or(0, |since| now.since(since))
     }
 }
 
-/// Since when a job has waited, and when that was last logged.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Wait {
-    pub since: Millis,
-    logged: Millis,
-}
-
 impl Leader {
-    /// Keeps since when jobs wait, and logs what is in the way.
+    /// Keeps since when jobs wait and stand still, and logs what is in the way. What is known of the
+    /// groups that the plan did not reach stays as it is.
     pub(super) fn note_waits(
         &mut self,
         state: &State,
         now: Millis,
+        wall: Millis,
         blocked: &[(&Ready<'_>, Obstacles)],
+        unreached: &[Ready<'_>],
     ) {
         let known = std::mem::take(&mut self.waits);
+        let kept = unreached.iter().filter_map(|group| Some((group.id, *known.get(&group.id)?)));
+        self.waits.extend(kept);
         let mut lines = 0;
         for (group, obstacles) in blocked {
-            let new = Wait { since: now, logged: now };
-            let mut wait = known.get(&group.id).copied().unwrap_or(new);
+            let before = known.get(&group.id).copied();
+            let mut wait = before.unwrap_or_else(|| Wait::new(now, wall, group.job));
+            if self.runs_somewhere(state, now, group.job) {
+                wait.still = None;
+            } else if before.is_some() {
+                wait.still.get_or_insert(now);
+            }
             if lines < LINES && now.since(wait.logged) >= LINE_MS {
                 wait.logged = now;
                 lines += 1;
-                self.log_wait(state, now, group, wait, obstacles);
+                self.log_wait(now, group, wait, obstacles);
             }
             self.waits.insert(group.id, wait);
         }
     }
 
-    fn log_wait(
-        &mut self,
-        state: &State,
-        now: Millis,
-        group: &Ready<'_>,
-        wait: Wait,
-        obstacles: &Obstacles,
-    ) {
+    /// Whether a worker that reports has something of the job. A place in the replicated state is no
+    /// proof that something runs: a worker that has fallen silent may be dead.
+    fn runs_somewhere(&self, state: &State, now: Millis, job: &Job) -> bool {
+        if job.placed == 0 {
+            return false;
+        }
+        let fresh = |life: &str| {
+            self.workers.get(life).is_some_and(|worker| now.since(worker.heard) <= FRESH_MS)
+        };
+        let tasks = job.times.iter().flatten().flatten();
+        let mut lives = tasks.filter_map(|task| task.worker.as_deref());
+        !self.knows_workers(state, now) || lives.any(fresh)
+    }
+
+    fn log_wait(&mut self, now: Millis, group: &Ready<'_>, wait: Wait, obstacles: &Obstacles) {
         let waiting = group.tasks().iter().filter(|task| task.waits()).count();
         let decision = Decision::Waiting {
             job: group.id,
             step: group.step_index,
             tasks: waiting,
-            placed: state.job(group.id).map_or(0, |job| job.placed),
+            placed: group.job.placed,
             since_ms: now.since(wait.since),
+            still_ms: wait.still_ms(now),
             image: group.step.image.clone(),
             obstacles: obstacles.clone(),
         };
--- a/crates/pond-job/tests/harm.rs
+++ b/crates/pond-job/tests/harm.rs
@@ -165,19 +165,30 @@
     assert!(tried.contains(&true));
 }
 
+/// The jobs of the filling runs on the worker, in order.
+fn filling_jobs(bench: &Bench) -> Vec<u64> {
+    bench.state.placed("a").map(|run| run.task.job).filter(|job| *job != 1).collect()
+}
+
 #[test]
-fn one_task_of_a_job_is_tried_at_a_time_and_two_on_a_worker() {
+fn two_tasks_are_tried_on_a_worker_until_jobs_have_stood_still_for_too_long() {
     let (mut bench, _) = known_as_loud();
     for job in 9..12 {
         bench.submit_batch(job, vec![Step { tasks: 4, ..filling("loud") }]);
     }
+    // Job 2, whose run was moved, waits for a place as the others do.
+    for _ in 0..3 {
+        show(&mut bench, "a", &[(1, 6)]);
+        assert!(filling_jobs(&bench).is_empty());
+    }
+    show(&mut bench, "a", &[(1, 6)]);
+    let first = filling_jobs(&bench);
+    assert_eq!(first.len(), 2);
+    assert_ne!(first[0], first[1]);
     for _ in 0..12 {
         show(&mut bench, "a", &[(1, 6)]);
+        assert_eq!(filling_jobs(&bench), [2, 9, 10, 11]);
     }
-    let runs = bench.state.placed("a").map(|run| run.task.job);
-    let jobs: Vec<u64> = runs.filter(|job| *job != 1).collect();
-    assert_eq!(jobs.len(), 2);
-    assert_ne!(jobs[0], jobs[1]);
 }
 
 #[test]
--- a/crates/pond-replica/src/audit.rs
+++ b/crates/pond-replica/src/audit.rs
@@ -23,19 +23,28 @@
                 event!(self.log, RUN_MOVED, "run" => run.to_string(), "worker" => worker,
                     "excess_permille" => excess_permille, "added_permille" => added_permille);
             }
-            Decision::Waiting { job, step, tasks, placed, since_ms, image, obstacles } => {
+            Decision::Waiting {
+                job,
+                step,
+                tasks,
+                placed,
+                since_ms,
+                still_ms,
+                image,
+                obstacles,
+            } => {
                 let count = |obstacle| obstacles.count(obstacle);
                 event!(self.log, JOB_WAITS, "job" => format!("{job:016x}"), "step" => step,
-                    "tasks" => tasks, "placed" => placed, "since_ms" => since_ms, "image" => image,
+                    "tasks" => tasks, "placed" => placed, "since_ms" => since_ms, "still_ms" => still_ms, "image" => image,
                     "elsewhere" => count(Obstacle::Elsewhere),
                     "resting" => count(Obstacle::Resting), "no_room" => count(Obstacle::NoRoom),
                     "kept" => count(Obstacle::Kept),
                     "busy" => count(Obstacle::Busy),
                     "no_ticket" => count(Obstacle::NoTicket), "harm" => count(Obstacle::Harm));
             }
-            Decision::Tried { run, worker, waited_ms } => {
+            Decision::Tried { run, worker, still_ms } => {
                 event!(self.log, RUN_TRIED, "run" => run.to_string(), "worker" => worker,
-                    "waited_ms" => waited_ms);
+                    "still_ms" => still_ms);
             }
             Decision::Sick { worker, for_ms } => {
                 event!(self.log, WORKER_SICK, "worker" => worker, "for_ms" => for_ms);
