An order to stop a run does not wait for a second after the order to start it

Cause: one time was kept for the last order about a run, whether to start or to stop, and the next one was due a second after it. A job that is cancelled just after its start was stopped up to 1.1 s later than need be; a start that is held back on its way had that much more time to be carried out. Ruled out: the stop's proposal or the log; the order is built at once and leaves the run out. Change: the last order is kept with its kind; another kind is due at once, the same after a second.

--- a/crates/pond-job/src/lead/order.rs
+++ b/crates/pond-job/src/lead/order.rs
@@ -21,8 +21,9 @@
     pub(super) fn touch_unsettled(&mut self, state: &State, now: Millis) {
         for (life, worker) in &self.workers {
             let due = |run: RunName| {
-                let missing = !worker.rows.contains_key(&run) || !self.wanted(state, run);
-                missing && worker.order_due(run, now)
+                let wanted = self.wanted(state, run);
+                let missing = !worker.rows.contains_key(&run) || !wanted;
+                missing && worker.order_due(run, wanted, now)
             };
             if worker.link.is_some() && state.placed(life).any(due) {
                 self.dirty.insert(life.clone());
@@ -108,7 +109,7 @@
 ) -> Vec<StartOrder> {
     let mut starts = Vec::new();
     for run in wanted.iter().filter(|(_, wanted)| **wanted).map(|(run, _)| *run) {
-        if worker.rows.contains_key(&run) || !worker.order_due(run, now) {
+        if worker.rows.contains_key(&run) || !worker.order_due(run, true, now) {
             continue;
         }
         let advised = state.job(run.task.job).is_some_and(|job| job.advice.is_some());
@@ -116,7 +117,7 @@
         if advised && ticket.is_none() {
             continue;
         }
-        worker.ordered.insert(run, now);
+        worker.note_order(run, true, now);
         let watch = watches.iter().find(|watch| watch.run == run).cloned();
         starts.extend(start_order(state, run, watch, ticket.unwrap_or_default()));
     }
@@ -129,8 +130,8 @@
     let unwanted = wanted.iter().filter(|(_, wanted)| !**wanted).map(|(run, _)| *run);
     let strays = worker.rows.keys().filter(|run| !wanted.contains_key(run)).copied();
     let mut stops: Vec<RunName> = unwanted.chain(strays).collect();
-    stops.retain(|run| worker.order_due(*run, now));
-    worker.ordered.extend(stops.iter().map(|run| (*run, now)));
+    stops.retain(|run| worker.order_due(*run, false, now));
+    stops.iter().for_each(|run| worker.note_order(*run, false, now));
     stops
 }
 
--- a/crates/pond-job/src/lead/worker.rs
+++ b/crates/pond-job/src/lead/worker.rs
@@ -9,6 +9,15 @@
 use super::ORDER_AGAIN_MS;
 use super::progress::Progress;
 
+/// The last order about a run.
+#[derive(Clone, Copy, Debug)]
+pub struct Ordered {
+    /// Whether it was to go on, or to stop.
+    pub go_on: bool,
+    /// When it was sent.
+    pub at: Millis,
+}
+
 /// One life of a worker.
 #[derive(Debug)]
 pub struct Worker {
@@ -41,8 +50,8 @@
     pub progress: BTreeMap<RunName, Progress>,
     /// How the agent was told to watch each run.
     pub watched: BTreeMap<RunName, Watch>,
-    /// When each run was last ordered to start or stop.
-    pub ordered: BTreeMap<RunName, Millis>,
+    /// How each run was last ordered to start or stop.
+    pub ordered: BTreeMap<RunName, Ordered>,
     /// Ends up to this number are proposed.
     pub proposed: u64,
     /// When ends or unstarted runs were last proposed.
@@ -108,8 +117,15 @@
         new
     }
 
-    /// Whether a run may be ordered to start or stop, again if it was before.
-    pub fn order_due(&self, run: RunName, now: Millis) -> bool {
-        self.ordered.get(&run).is_none_or(|at| now.since(*at) >= ORDER_AGAIN_MS)
+    /// Whether a run may be ordered to go on or to stop: at once if the last order was another one,
+    /// so that a stop does not wait for up to a second after a start; else again after a while.
+    pub fn order_due(&self, run: RunName, go_on: bool, now: Millis) -> bool {
+        let last = self.ordered.get(&run).filter(|last| last.go_on == go_on);
+        last.is_none_or(|last| now.since(last.at) >= ORDER_AGAIN_MS)
+    }
+
+    /// A run is ordered to go on or to stop.
+    pub fn note_order(&mut self, run: RunName, go_on: bool, now: Millis) {
+        self.ordered.insert(run, Ordered { go_on, at: now });
     }
 }
