A run that a list shows and nobody ordered is told at once

Cause: a list made news only by ends. A start that was given up and is carried out late, or that a former agent made, stood in the next report only, up to 900 ms after the list. One that control had not yet confirmed as unstarted stayed so, and the order to stop it was ignored until then. Ruled out: the list itself, which is asked for again after a second at the latest. Change: an unknown run in a list makes a report at once, and counts as unstarted no more.

--- a/crates/pond-agent/src/core/answers.rs
+++ b/crates/pond-agent/src/core/answers.rs
@@ -121,13 +121,20 @@
         self.look_due = now + wait;
     }
 
-    /// A list may be older than an answer to a start, so it only adds.
+    /// A list may be older than an answer to a start, so it only adds. A run that is not known is
+    /// told at once: nobody may want it any more, and only control can tell. (The next report would
+    /// come up to 0.9 s later.)
     fn take_rows(&mut self, now: Millis, rows: Vec<RunRow>) {
         for row in rows {
             let name = row.run;
             if self.ends.values().any(|end| end.run == name) {
                 continue;
             }
+            if !self.runs.contains_key(&name) {
+                // A start that was given up may have been carried out late.
+                self.unstarted.remove(&name);
+                self.news = true;
+            }
             let run = self.runs.entry(name).or_insert_with(|| {
                 // Started through a former life of this agent, which may have slowed it down.
                 Run { pace: None, ..Run::new(name, Phase::Running, None, now) }
