A run that goes on after its confirmed stop is stopped again

Cause: a confirmed stop was final for the agent. A run that lists went on to show was never called about again, whatever control ordered, and the lease for the others kept it alive. Ruled out: that control gives up; its orders to stop come with every second report and were ignored. Change: a list that was asked for after the confirmed stop and shows the run makes another call due half a second later; a stop takes a fifth of a second, so the usual one is still called once. Conclusion: called again every 520 ms at most on the injected clock, until the end is listed.

--- a/crates/pond-agent/src/core/answers.rs
+++ b/crates/pond-agent/src/core/answers.rs
@@ -21,6 +21,10 @@
 /// The waiting time is doubled this often at most, so it stays below two seconds.
 const MOST_DOUBLINGS: u32 = 3;
 
+/// Time before the next call to stop a run that a list still shows after its confirmed stop, in
+/// milliseconds: a stop takes a fifth of a second, so this is ample.
+const GOES_ON_MS: Span = 500;
+
 /// Time before the next list while ends wait to be settled, in milliseconds: they would make the
 /// worker answer at once. It is about the time of a commit.
 const UNSETTLED_WAIT_MS: Span = 60;
@@ -114,7 +118,7 @@
             }
         }
         let listed: BTreeSet<RunName> = runs.iter().map(|row| row.run).collect();
-        self.take_rows(now, runs);
+        self.take_rows(now, look, runs);
         self.find_unstarted(look, &listed);
         self.pace(now);
         let wait = if self.ends.is_empty() { 0 } else { UNSETTLED_WAIT_MS };
@@ -124,7 +128,7 @@
     /// A list may be older than an answer to a start, so it only adds. A run that is not known is
     /// told at once: nobody may want it any more, and only control can tell. (The next report would
     /// come up to 0.9 s later.)
-    fn take_rows(&mut self, now: Millis, rows: Vec<RunRow>) {
+    fn take_rows(&mut self, now: Millis, look: u64, rows: Vec<RunRow>) {
         for row in rows {
             let name = row.run;
             if self.ends.values().any(|end| end.run == name) {
@@ -139,8 +143,14 @@
                 // Started through a former life of this agent, which may have slowed it down.
                 Run { pace: None, ..Run::new(name, Phase::Running, None, now) }
             });
-            if matches!(run.phase, Phase::Starting { .. }) {
-                run.phase = Phase::Running;
+            match run.phase {
+                Phase::Starting { .. } => run.phase = Phase::Running,
+                // It still stops, or it was started after its stop: the stop is called again.
+                Phase::Stopped { look: before } if before < look => {
+                    run.phase = Phase::Stopping;
+                    run.due = now + GOES_ON_MS;
+                }
+                _ => {}
             }
             run.seen = true;
             run.row = row;
--- a/crates/pond-agent/tests/late.rs
+++ b/crates/pond-agent/tests/late.rs
@@ -28,9 +28,9 @@
 /// The same however often there was none: the time for the answer and the longest wait.
 const AGAIN_MS: Span = 2_400;
 
-/// From a list that shows a run after its confirmed stop until the next call, in milliseconds: a
-/// stop takes a fifth of a second, and one list may pass.
-const NOT_STOPPED_MS: Span = 1_500;
+/// From a confirmed stop of a run that goes on until the next call, in milliseconds: a stop takes a
+/// fifth of a second, and half a second is given to it; two answers come before.
+const NOT_STOPPED_MS: Span = 520;
 
 /// The longest lease in these tests, in milliseconds.
 const HOLD_MS: u64 = 6_000;
