--- a/crates/pond-agent/tests/late.rs
+++ b/crates/pond-agent/tests/late.rs
@@ -375,6 +375,21 @@
     assert_eq!(bench.last().unstarted, [run(0)]);
 }
 
+#[test]
+fn missing_answer_to_a_start_does_not_bring_the_next_stop_forward() {
+    // The worker leaves both unanswered; each stop has its own time for an answer.
+    let mut bench = Bench::new();
+    bench.worker.mute_starts = true;
+    bench.worker.mute_stops = true;
+    bench.order_start(0);
+    bench.pass(100);
+    bench.order_stop(0);
+    bench.pass(FIRST_AGAIN_MS - STEP_MS);
+    assert_eq!(bench.stops.len(), 1);
+    bench.pass(STEP_MS);
+    assert_eq!((bench.starts.len(), bench.stops.len()), (1, 2));
+}
+
 #[test]
 fn start_with_tries_left_is_not_made_again_once_it_should_stop() {
     let mut bench = Bench::new();
--- a/crates/pond-job/tests/cancelled.rs
+++ b/crates/pond-job/tests/cancelled.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use pond_job::{Change, Leader, Output, Reply};
+use pond_job::{Change, Leader, Output, Reply, Start};
 use pond_proto::Span;
 use pond_proto::fleet::RunRow;
 use pond_proto::job::{How, Phase, RunName, Step};
@@ -16,6 +16,9 @@
 /// agent repeats its calls by itself, so this is for lost orders. A report may come just too early.
 const AGAIN_MS: Span = 2 * REPORT_MS;
 
+/// The same for a run that is placed there, whenever the reports come, in milliseconds.
+const PLACED_AGAIN_MS: Span = 1_100;
+
 /// One run of job 1 is ordered to start on worker a.
 fn ordered() -> (Bench, RunName) {
     let mut bench = Bench::new().with_vm("a", 1_000);
@@ -50,6 +53,12 @@
     bench.settle();
 }
 
+/// A run never started, and the log says so; nothing is planned in answer.
+fn give_up_of(bench: &mut Bench, run: RunName) {
+    let unstarted = vec![run];
+    bench.apply(Change::Ended { worker: "a".to_owned(), ends: Vec::new(), unstarted });
+}
+
 /// Worker a lists a run, which nobody may remember.
 fn list_late(bench: &mut Bench, run: RunName) {
     let row = RunRow { run, save: String::new(), percent: 3, figure: 0 };
@@ -121,6 +130,19 @@
     assert_eq!(bench.stopped("a").len(), orders);
 }
 
+#[test]
+fn placed_run_of_a_cancelled_job_is_ordered_to_stop_again_between_two_reports() {
+    let (mut bench, run) = ordered();
+    bench.obey("a");
+    bench.report("a");
+    bench.cancel(1);
+    bench.settle();
+    report_after(&mut bench, "a", REPORT_MS);
+    assert_eq!(bench.stopped("a"), [run]);
+    wait(&mut bench, PLACED_AGAIN_MS - REPORT_MS);
+    assert_eq!(bench.stopped("a"), [run, run]);
+}
+
 #[test]
 fn late_run_of_a_forgotten_job_is_stopped_with_the_report_that_shows_it() {
     let (mut bench, run) = given_up_and_cancelled();
@@ -295,6 +317,24 @@
     assert_eq!(bench.state.placed("a").count(), 0);
 }
 
+#[test]
+fn start_that_comes_into_the_log_after_the_cancelling_is_not_ordered_while_others_still_stop() {
+    let (mut bench, run) = ordered();
+    bench.submit(2, vec![step(1, 100), step(1, 100)]);
+    bench.settle();
+    let placed = |bench: &Bench| bench.state.placed("a").filter(|run| run.task.job == 2).count();
+    assert_eq!(placed(&bench), 2);
+    let second = RunName { task: task(2, 1, 0), number: 1 };
+    give_up_of(&mut bench, second);
+    bench.cancel(2);
+    let start =
+        Start { run: RunName { number: 2, ..second }, worker: "a".into(), agent: "x".into() };
+    assert_eq!(bench.apply(Change::Start(vec![start])), Reply::Started(Vec::new()));
+    bench.settle();
+    assert_eq!(placed(&bench), 1);
+    assert!(!bench.stopped("a").contains(&run));
+}
+
 #[test]
 fn stop_that_could_not_be_ordered_comes_with_the_next_link() {
     let (mut bench, run) = ordered();
