--- /dev/null
+++ b/crates/pond-agent/tests/support/mod.rs
@@ -0,0 +1,200 @@
+//! An agent's core whose worker answers as the test says.
+#![allow(dead_code)]
+
+use pond_agent::{Answer, Call, Core, Output, Registration, Reply};
+use pond_proto::fleet::{EndRow, Order, Report, RunRow, StartOrder, Watch};
+use pond_proto::job::{How, RunName, TaskName};
+use pond_proto::{Millis, Size};
+
+pub const LIFE: &str = "life-1";
+
+pub fn run(index: u32) -> RunName {
+    RunName { task: TaskName { job: 1, time: 0, step: 0, index }, number: 1 }
+}
+
+/// An agent with everything that it hands out.
+pub struct Bench {
+    pub core: Core,
+    pub now: Millis,
+    pub calls: Vec<(u64, Call)>,
+    /// Calls to lives that have registered and not answered.
+    pub claims: Vec<(String, u64, Call)>,
+    /// Token of the last call.
+    pub token: u64,
+    pub reports: Vec<Report>,
+}
+
+impl Bench {
+    /// An agent that knows neither a leader nor a worker.
+    pub fn without_leader() -> Bench {
+        Bench {
+            core: Core::new(),
+            now: Millis(1_000),
+            calls: vec![],
+            claims: vec![],
+            token: 0,
+            reports: vec![],
+        }
+    }
+
+    pub fn new() -> Bench {
+        let mut bench = Bench::without_leader();
+        bench.core.leader_up(3);
+        bench.register(LIFE, false, 1);
+        bench
+    }
+
+    /// A life registers and answers the call that asks whether it is there, if there is one.
+    pub fn register(&mut self, life: &str, draining: bool, sequence: u64) {
+        self.claim(life, draining, sequence);
+        self.answer_claim(life, Reply::Listed { runs: vec![], ends: vec![] });
+    }
+
+    /// A registration comes.
+    pub fn claim(&mut self, life: &str, draining: bool, sequence: u64) {
+        let registration = Registration {
+            life: life.to_owned(),
+            address: "127.0.0.1:1".to_owned(),
+            room: Size::new(4_000, 1_000, 0),
+            draining,
+            clock_ms: 50_000,
+            sequence,
+            ..Registration::default()
+        };
+        self.core.registered(self.now, registration);
+        self.tick();
+    }
+
+    pub fn tick(&mut self) {
+        for output in self.core.tick(self.now) {
+            match output {
+                Output::Call { life, look, call, .. } if self.core.life() != Some(&life) => {
+                    self.claims.push((life, look, call));
+                }
+                Output::Call { token, look, call, .. } => {
+                    self.token = token;
+                    self.calls.push((look, call));
+                }
+                Output::Report(report) => self.reports.push(report),
+            }
+        }
+    }
+
+    pub fn order(&mut self, order: Order) {
+        let order = Order { worker: LIFE.to_owned(), term: order.term.max(3), ..order };
+        self.core.order(self.now, order);
+        self.tick();
+    }
+
+    pub fn start(&mut self, index: u32) {
+        let watch = Watch { run: run(index), ..Watch::default() };
+        let start = StartOrder { run: run(index), watch, ..StartOrder::default() };
+        self.order(Order { lease_end_ms: 56_000, starts: vec![start], ..Order::default() });
+    }
+
+    /// Starts a run for each watch; the worker confirms all of them.
+    pub fn run_all(&mut self, watches: Vec<Watch>) {
+        let confirmed = watches.len();
+        let start = |watch: Watch| StartOrder { run: watch.run, watch, ..StartOrder::default() };
+        let starts = watches.into_iter().map(start).collect();
+        self.order(Order { lease_end_ms: 56_000, starts, ..Order::default() });
+        for _ in 0..confirmed {
+            self.answer(is_start, Reply::Done);
+        }
+    }
+
+    /// The worker lists the serving run 0 at work with that tail, and the filling runs 1 to `fillers`.
+    pub fn list_tail(&mut self, tail_ms: u32, fillers: u32) {
+        let row = |index: u32, percent: u32, figure: u32| RunRow {
+            run: run(index),
+            save: String::new(),
+            percent,
+            figure,
+        };
+        let fill = (1..=fillers).map(|index| row(index, 10, 900));
+        let runs = std::iter::once(row(0, 100, tail_ms)).chain(fill).collect();
+        self.answer(is_look, Reply::Listed { runs, ends: vec![] });
+    }
+
+    /// The worker does as told about paces; the paces by the index of the run.
+    pub fn obey_paces(&mut self) -> Vec<(u32, u32)> {
+        let mut paces = Vec::new();
+        while self.count(is_pace) > 0 {
+            let found = self.calls.iter().find(|(_, call)| is_pace(call));
+            if let Some((_, Call::Pace { run, percent })) = found {
+                paces.push((run.task.index, *percent));
+            }
+            self.answer(is_pace, Reply::Done);
+        }
+        paces
+    }
+
+    /// Answers the oldest call of that kind that was not answered yet.
+    pub fn answer(&mut self, wanted: fn(&Call) -> bool, reply: Reply) {
+        let found = self.calls.iter().position(|(_, call)| wanted(call)).expect("no such call");
+        let (look, call) = self.calls.remove(found);
+        let answer = Answer { clock_ms: Some(51_000), reply };
+        self.core.answer(self.now, LIFE, self.token, look, &call, answer);
+        self.tick();
+    }
+
+    /// Answers the call that asks a life whether it is there.
+    pub fn answer_claim(&mut self, life: &str, reply: Reply) {
+        let Some(found) = self.claims.iter().position(|(claim, ..)| claim == life) else { return };
+        let (life, look, call) = self.claims.remove(found);
+        let answer = Answer { clock_ms: Some(50_000), reply };
+        self.core.answer(self.now, &life, self.token, look, &call, answer);
+        self.tick();
+    }
+
+    pub fn list(&mut self, running: &[u32], ended: &[(u64, u32, How)]) {
+        let row = |index: &u32| RunRow { run: run(*index), percent: 5, ..RunRow::default() };
+        let end = |(number, index, how): &(u64, u32, How)| EndRow {
+            number: *number,
+            run: run(*index),
+            how: *how as i32,
+            save: String::new(),
+        };
+        let runs = running.iter().map(row).collect();
+        let ends = ended.iter().map(end).collect();
+        self.answer(is_look, Reply::Listed { runs, ends });
+    }
+
+    pub fn pass(&mut self, ms: u64) {
+        self.now = self.now + ms;
+        self.tick();
+    }
+
+    pub fn count(&self, wanted: fn(&Call) -> bool) -> usize {
+        self.calls.iter().filter(|(_, call)| wanted(call)).count()
+    }
+
+    pub fn last(&self) -> &Report {
+        self.reports.last().expect("no report")
+    }
+}
+
+pub fn is_start(call: &Call) -> bool {
+    matches!(call, Call::Start { .. })
+}
+
+pub fn is_stop(call: &Call) -> bool {
+    matches!(call, Call::Stop { .. })
+}
+
+pub fn is_look(call: &Call) -> bool {
+    matches!(call, Call::Look { .. })
+}
+
+pub fn is_pace(call: &Call) -> bool {
+    matches!(call, Call::Pace { .. })
+}
+
+pub fn serving(index: u32, tail_target_ms: u32) -> Watch {
+    Watch { run: run(index), tail_target_ms, ..Watch::default() }
+}
+
+pub fn filling(index: u32, image: &str, blame_permille: u32) -> Watch {
+    let image = image.to_owned();
+    Watch { run: run(index), fills: true, image, blame_permille, ..Watch::default() }
+}
