Agent: only a list that was read takes the lease further; runs that vanished are forgotten

Cause: (1) the agent reported the newest clock of its worker whatever brought it. A worker that registers while its lists cannot be read (or that answers them with a refusal) thus kept its lease in control's count for ever, though no list extended it: its runs lapsed at the worker and stayed placed. (2) A life that had only registered counted as answering for 3.5 s after it was believed, so runs were placed there. (3) A run that a late list brought back after its end was settled was reported for ever.

Ruled out: to mend (1) in the leader by the flag answers: it comes 3.5 s late, and registrations would still take the clock further in between.

Change: the reported clock is that of the newest list; a life answers once it has listed; a run that was listed and that a list asked for since lacks is forgotten if no end is left to settle (a list may hold only some of the ends).

Conclusion: bound of such a run is the lease with its drift and slack instead of none.

--- a/crates/pond-agent/src/core/answers.rs
+++ b/crates/pond-agent/src/core/answers.rs
@@ -47,7 +47,6 @@
         if self.life() != Some(life) {
             return self.claim_answer(now, life, look, answer);
         }
-        self.clock_ms = self.clock_ms.max(answer.clock_ms.unwrap_or(0));
         if answer.reply == Reply::OtherLife {
             self.new_life(now, "");
             return;
@@ -55,7 +54,7 @@
         match call {
             Call::Start { run, .. } => self.start_answer(now, *run, &answer.reply),
             Call::Stop { run } => self.stop_answer(now, *run, &answer.reply),
-            Call::Look { .. } => self.look_answer(now, look, answer.reply),
+            Call::Look { .. } => self.look_answer(now, look, answer),
             Call::Pace { run, percent } => self.pace_answer(*run, *percent, &answer.reply),
         }
     }
@@ -100,16 +99,20 @@
         }
     }
 
-    pub(super) fn look_answer(&mut self, now: Millis, look: u64, reply: Reply) {
+    /// The worker answered a list. Only a list that was read takes the worker's clock further: control
+    /// counts leases by it, and gives up runs of which nothing can be read any more.
+    pub(super) fn look_answer(&mut self, now: Millis, look: u64, answer: Answer) {
         if self.looking == Some(look) {
             self.looking = None;
         }
-        let Reply::Listed { runs, ends } = reply else {
+        let Reply::Listed { runs, ends } = answer.reply else {
             self.look_due = now + wait_again_ms(&mut self.look_fails);
             return;
         };
+        self.clock_ms = self.clock_ms.max(answer.clock_ms.unwrap_or(0));
         self.look_fails = 0;
         self.listed = now;
+        self.answered = true;
         for end in ends {
             if end.number > self.settled && !self.ends.contains_key(&end.number) {
                 self.runs.remove(&end.run);
@@ -120,6 +123,7 @@
         let listed: BTreeSet<RunName> = runs.iter().map(|row| row.run).collect();
         self.take_rows(now, look, runs);
         self.find_unstarted(look, &listed);
+        self.drop_vanished(look);
         self.pace(now);
         let wait = if self.ends.is_empty() { 0 } else { UNSETTLED_WAIT_MS };
         self.look_due = now + wait;
@@ -152,17 +156,26 @@
                 }
                 _ => {}
             }
-            run.seen = true;
+            run.seen = Some(self.looks);
             run.row = row;
         }
     }
 
+    /// A run that was listed once, and that a list asked for since lacks, has ended; its end is settled
+    /// if none is left to settle. A late list brings such a run back, and it would be reported for
+    /// ever.
+    fn drop_vanished(&mut self, look: u64) {
+        if self.ends.is_empty() {
+            self.runs.retain(|_, run| run.seen.is_none_or(|before| before >= look));
+        }
+    }
+
     /// Runs whose stop was confirmed before this list was asked for, and that neither run nor have
     /// ended, never started.
     fn find_unstarted(&mut self, look: u64, listed: &BTreeSet<RunName>) {
         let never = |(name, run): &(&RunName, &Run)| {
             let stopped = matches!(run.phase, Phase::Stopped { look: before } if before < look);
-            stopped && !run.seen && !listed.contains(name)
+            stopped && run.seen.is_none() && !listed.contains(name)
         };
         let found: Vec<RunName> = self.runs.iter().filter(never).map(|(name, _)| *name).collect();
         for name in found {
--- a/crates/pond-agent/src/core/claim.rs
+++ b/crates/pond-agent/src/core/claim.rs
@@ -75,10 +75,9 @@
                 self.claims.remove(found);
                 self.remember_over(life.to_owned());
             }
-            reply => {
+            _ => {
                 self.adopt(now, found);
-                self.clock_ms = self.clock_ms.max(answer.clock_ms.unwrap_or(0));
-                self.look_answer(now, look, reply);
+                self.look_answer(now, look, answer);
             }
         }
     }
--- a/crates/pond-agent/src/core/due.rs
+++ b/crates/pond-agent/src/core/due.rs
@@ -153,7 +153,7 @@
             labels: worker.labels.clone(),
             draining: worker.draining,
             clock_ms: self.clock_ms,
-            answers: now.since(self.listed) < SILENT_MS,
+            answers: self.answered && now.since(self.listed) < SILENT_MS,
             gone: false,
             runs: self.runs.values().map(|run| run.row.clone()).collect(),
             ends: self.ends.values().cloned().collect(),
--- a/crates/pond-agent/src/core/mod.rs
+++ b/crates/pond-agent/src/core/mod.rs
@@ -80,6 +80,7 @@
     over: VecDeque<String>,
     /// Lives that have registered and not answered yet.
     claims: Vec<Claim>,
+    /// The worker's clock in its newest list, in milliseconds; before that, in its registration.
     clock_ms: u64,
     /// The highest term of a leader.
     term: u64,
@@ -96,7 +97,10 @@
     looking: Option<u64>,
     look_due: Millis,
     look_fails: u32,
+    /// When this life last listed, or was believed without a list.
     listed: Millis,
+    /// This life has listed.
+    answered: bool,
     reported: Millis,
     /// There is something to report at once.
     news: bool,
@@ -138,7 +142,6 @@
         if registration.draining {
             self.start_nothing_more(now);
         }
-        self.clock_ms = self.clock_ms.max(registration.clock_ms);
         self.worker = Some(registration);
     }
 
--- a/crates/pond-agent/src/run.rs
+++ b/crates/pond-agent/src/run.rs
@@ -39,8 +39,9 @@
     pub fails: u32,
     /// What the worker last listed.
     pub row: RunRow,
-    /// Whether the worker has listed it as running.
-    pub seen: bool,
+    /// Number of the last list that was asked for when the worker last listed it as running; none if
+    /// it never did.
+    pub seen: Option<u64>,
     /// How to watch it, as far as known.
     pub watch: Option<Watch>,
     /// What the worker was last told about its pace, in percent; not known of runs that were there
@@ -52,7 +53,7 @@
     /// A run of which the worker has said nothing yet; the first call about it is due at `now`.
     pub fn new(name: RunName, phase: Phase, watch: Option<Watch>, now: Millis) -> Run {
         let row = RunRow { run: name, save: String::new(), percent: 0, figure: 0 };
-        Run { phase, calling: false, due: now, fails: 0, row, seen: false, watch, pace: Some(100) }
+        Run { phase, calling: false, due: now, fails: 0, row, seen: None, watch, pace: Some(100) }
     }
 
     /// It should stop from now on. The call does not wait for the answer to one that is on its way:
--- a/crates/pond-agent/tests/unstarted.rs
+++ b/crates/pond-agent/tests/unstarted.rs
@@ -5,7 +5,7 @@
 
 mod support;
 
-use pond_agent::{Answer, Call, Output, Refusal, Registration, Reply};
+use pond_agent::{Answer, Call, Refusal, Registration, Reply};
 use pond_proto::fleet::{EndRow, Order, RunRow};
 use pond_proto::job::How;
 use pond_proto::{Millis, Size, Span};
