--- a/crates/pond-job/tests/support/mod.rs
+++ b/crates/pond-job/tests/support/mod.rs
@@ -183,6 +183,22 @@
         }
     }
 
+    /// The same, with proposals that are lost on their way.
+    pub fn settle_losing(&mut self, lost: impl Fn(&Change) -> bool) {
+        for _ in 0..20 {
+            let outputs = self.leader.tick(&self.state, self.now, self.now, true);
+            if outputs.is_empty() {
+                return;
+            }
+            for output in outputs {
+                match output {
+                    Output::Propose(change) if lost(&change) => self.proposed.push(change),
+                    other => self.output(other),
+                }
+            }
+        }
+    }
+
     fn output(&mut self, output: Output) {
         match output {
             Output::Propose(change) => {
