Leader: a proposal of ends holds all that is not settled; one question for all workers of a step

Cause: (1) after a proposal of ends was lost, only higher ends were proposed; with those settled, the lost ones were taken for settled, too, forgotten by the worker, and their tasks run again. (2) The time after which ends and unstarted runs are proposed again counted from the newest proposal of the worker, so a lost one was not repeated while runs went on to end there. (3) For placed runs without a ticket the adviser was asked about one worker at a time, each time for its whole time to decide.

Ruled out: to chain the entries of ends by number in the state (numbers need not be without gaps, and the log's format would change); to tell the leader of each refused proposal alone (the core would still lose ends when it is not told). Today's quorum refuses proposals of a leader only when it stops to lead, so (1) and (2) were not reached in practice; the core no longer depends on it.

Change: as said; a worker's health learns of each end once, also when it is proposed again.

Questions for four workers of a step at a new leader: one instead of four.

--- a/crates/pond-job/src/lead/ask.rs
+++ b/crates/pond-job/src/lead/ask.rs
@@ -1,7 +1,6 @@
 //! When the adviser is asked, and about what.
 
-use std::collections::BTreeSet;
-use std::iter::once;
+use std::collections::{BTreeMap, BTreeSet};
 
 use pond_proto::Millis;
 
@@ -18,10 +17,11 @@
         self.adviser.answer(now, question, permits);
     }
 
-    /// Asks about runs that cannot be ordered for want of a ticket.
+    /// Asks about runs that cannot be ordered for want of a ticket, step by step: the adviser takes most
+    /// of its time for each question, whatever the number of workers.
     pub(super) fn ask_about_placed(&mut self, state: &State, now: Millis) {
-        for (step, worker, advice) in self.placed_without_ticket(state, now) {
-            let question = self.adviser.question(now, step, once(worker), advice);
+        for (step, (workers, advice)) in self.placed_without_ticket(state, now) {
+            let question = self.adviser.question(now, step, workers.into_iter(), advice);
             self.outputs.extend(question.map(Output::Advise));
         }
     }
@@ -44,23 +44,26 @@
         }
     }
 
-    /// Steps and workers of runs that are placed and cannot be ordered: a former leader had asked
-    /// about them, or the ticket has run out.
-    fn placed_without_ticket(&self, state: &State, now: Millis) -> Vec<(StepName, String, Advice)> {
-        let mut missing = BTreeSet::new();
-        let mut found = Vec::new();
+    /// Steps of runs that are placed and cannot be ordered, with the workers that have them: a former
+    /// leader had asked about them, or the ticket has run out.
+    fn placed_without_ticket(
+        &self,
+        state: &State,
+        now: Millis,
+    ) -> BTreeMap<StepName, (BTreeSet<String>, Advice)> {
+        let mut missing: BTreeMap<StepName, (BTreeSet<String>, Advice)> = BTreeMap::new();
         for (life, worker) in &self.workers {
             for run in state.placed(life).filter(|run| !worker.rows.contains_key(run)) {
                 let Some(advice) = state.job(run.task.job).and_then(|job| job.advice) else {
                     continue;
                 };
                 let step = StepName::from(run.task);
-                let has = self.adviser.ticket(now, step, life).is_some();
-                if !has && missing.insert((step, life)) {
-                    found.push((step, life.clone(), advice));
+                if self.adviser.ticket(now, step, life).is_none() {
+                    let (workers, _) = missing.entry(step).or_insert((BTreeSet::new(), advice));
+                    workers.insert(life.clone());
                 }
             }
         }
-        found
+        missing
     }
 }
--- a/crates/pond-job/src/lead/ends.rs
+++ b/crates/pond-job/src/lead/ends.rs
@@ -90,33 +90,29 @@
         self.outputs.push(Output::Propose(Change::WorkerLost { worker: name, saves, over }));
     }
 
-    /// Proposes the ends and unstarted runs of a report that were not proposed a short while ago.
+    /// Proposes the ends and unstarted runs of a report if some are new, or if the last proposal shows
+    /// no effect. Each proposal holds all that is not settled: were one lost and only what came
+    /// since proposed, the ends in it would be taken for settled with the higher ones.
     pub(super) fn propose_ends(&mut self, state: &State, now: Millis, life: &str, report: &Report) {
         let settled = state.settled(life);
+        let placed: BTreeSet<RunName> = state.placed(life).collect();
         let Some(worker) = self.workers.get_mut(life) else { return };
-        if now.since(worker.proposed_at) >= PROPOSE_AGAIN_MS {
-            worker.proposed = 0;
-            worker.unstarted.clear();
-        }
-        let from = settled.max(worker.proposed);
-        let fresh = report.ends.iter().filter(|end| end.number > from);
-        let mut ends: Vec<End> = fresh.map(end_from).collect();
+        let open = report.ends.iter().filter(|end| end.number > settled);
+        let mut ends: Vec<End> = open.map(end_from).collect();
         ends.sort_by_key(|end| end.number);
-        let placed: BTreeSet<RunName> = state.placed(life).collect();
-        let mut unstarted = Vec::new();
-        for run in &report.unstarted {
-            if !placed.contains(run) {
-                worker.forget.insert(*run);
-            } else if worker.unstarted.insert(*run) {
-                unstarted.push(*run);
-            }
-        }
+        let (unstarted, known): (Vec<RunName>, Vec<RunName>) =
+            report.unstarted.iter().partition(|run| placed.contains(run));
+        worker.forget.extend(known);
         if ends.is_empty() && unstarted.is_empty() {
             return;
         }
-        worker.proposed = ends.last().map_or(from, |end| end.number);
+        let (new_ends, new_unstarted) = worker.note_proposed(&ends, &unstarted);
+        let news = !new_ends.is_empty() || !new_unstarted.is_empty();
+        if !news && now.since(worker.proposed_at) < PROPOSE_AGAIN_MS {
+            return;
+        }
         worker.proposed_at = now;
-        self.note_ends(state, now, life, &ends, &unstarted);
+        self.note_ends(state, now, life, &new_ends, &new_unstarted);
         let worker = life.to_owned();
         self.outputs.push(Output::Propose(Change::Ended { worker, ends, unstarted }));
     }
--- a/crates/pond-job/src/lead/worker.rs
+++ b/crates/pond-job/src/lead/worker.rs
@@ -8,6 +8,7 @@
 
 use super::ORDER_AGAIN_MS;
 use super::progress::Progress;
+use crate::change::End;
 
 /// The last order about a run.
 #[derive(Clone, Copy, Debug)]
@@ -117,6 +118,20 @@
         new
     }
 
+    /// Remembers what is proposed; what of it was not proposed before.
+    pub fn note_proposed(
+        &mut self,
+        ends: &[End],
+        unstarted: &[RunName],
+    ) -> (Vec<End>, Vec<RunName>) {
+        let new_ends = ends.iter().filter(|end| end.number > self.proposed).cloned().collect();
+        let new_unstarted = unstarted.iter().filter(|run| !self.unstarted.contains(run));
+        let new_unstarted = new_unstarted.copied().collect();
+        self.proposed = ends.last().map_or(self.proposed, |end| end.number.max(self.proposed));
+        self.unstarted = unstarted.iter().copied().collect();
+        (new_ends, new_unstarted)
+    }
+
     /// Whether a run may be ordered to go on or to stop: at once if the last order was another one,
     /// so that a stop does not wait for up to a second after a start; else again after a while.
     pub fn order_due(&self, run: RunName, go_on: bool, now: Millis) -> bool {
