A line for each placed run that its worker does not list

Cause: nothing in the logs told a run that is placed from one that is at work, so a job that counted as begun and stood still could not be told from one that ran.

Change: event 622, from the leader: run, worker, how long it has been placed without being on the worker's lists (two seconds or more), whether the agent is linked, whether the worker answers, whether the agent knows of the run, whether it is being stopped, how often it was ordered. One line a second for each run at most, four in a look, ten looks a second. A row of a report says whether the worker has listed the run or the agent only tells of it, as it was ordered; reports of earlier agents read as listed.

--- a/crates/pond-agent/src/run.rs
+++ b/crates/pond-agent/src/run.rs
@@ -52,7 +52,7 @@
 impl Run {
     /// A run of which the worker has said nothing yet; the first call about it is due at `now`.
     pub fn new(name: RunName, phase: Phase, watch: Option<Watch>, now: Millis) -> Run {
-        let row = RunRow { run: name, save: String::new(), percent: 0, figure: 0 };
+        let row = RunRow { run: name, unlisted: true, ..RunRow::default() };
         Run { phase, calling: false, due: now, fails: 0, row, seen: None, watch, pace: Some(100) }
     }
 
--- a/crates/pond-agent/tests/support/mod.rs
+++ b/crates/pond-agent/tests/support/mod.rs
@@ -107,9 +107,9 @@
     pub fn list_tail(&mut self, tail_ms: u32, fillers: u32) {
         let row = |index: u32, percent: u32, figure: u32| RunRow {
             run: run(index),
-            save: String::new(),
             percent,
             figure,
+            ..RunRow::default()
         };
         let fill = (1..=fillers).map(|index| row(index, 10, 900));
         let runs = std::iter::once(row(0, 100, tail_ms)).chain(fill).collect();
--- a/crates/pond-agent/tests/unstarted.rs
+++ b/crates/pond-agent/tests/unstarted.rs
@@ -341,3 +341,17 @@
     bench.pass(1_000);
     assert_eq!(bench.last().ends.len(), 1);
 }
+
+#[test]
+fn run_counts_as_listed_only_once_the_worker_has_listed_it() {
+    let mut bench = Bench::new();
+    bench.start(0);
+    bench.answer(|call| matches!(call, Call::Start { .. }), Reply::Done);
+    bench.pass(1_000);
+    let unlisted = |bench: &Bench| bench.last().runs.iter().map(|row| row.unlisted).collect();
+    let before: Vec<bool> = unlisted(&bench);
+    bench.list(&[0], &[]);
+    bench.pass(1_000);
+    let after: Vec<bool> = unlisted(&bench);
+    assert_eq!((before, after), (vec![true], vec![false]));
+}
--- a/crates/pond-job/src/lead/mod.rs
+++ b/crates/pond-job/src/lead/mod.rs
@@ -5,6 +5,7 @@
 //! ended when its lease has surely run out: the lease is extended only in answer to a report, up to
 //! a time counted from the worker's clock in that report.
 
+mod absent;
 mod advice;
 mod ask;
 mod beside;
@@ -36,6 +37,7 @@
 use crate::lesson::Lesson;
 use crate::state::State;
 
+use absent::Absence;
 use advice::Adviser;
 use ends::Loss;
 use harm::Harm;
@@ -93,6 +95,8 @@
     gathering: Option<Millis>,
     /// Jobs of which tasks could not be placed in the last plan.
     waits: BTreeMap<u64, Wait>,
+    /// Runs that are placed and that their workers have not listed.
+    absent: BTreeMap<RunName, Absence>,
     /// Lives whose agents may need an order.
     dirty: BTreeSet<String>,
     /// When this replica last looked at what is overdue.
@@ -122,6 +126,7 @@
             adviser: Adviser::default(),
             gathering: None,
             waits: BTreeMap::new(),
+            absent: BTreeMap::new(),
             dirty: BTreeSet::new(),
             looked: Millis(0),
             written: now,
@@ -222,6 +227,7 @@
                 self.lose_silent(state, now);
                 self.forget_old(state, now);
                 self.touch_unsettled(state, now);
+                self.note_absent(state, now);
                 self.ask_about_placed(state, now);
                 self.write_lesson(state, now, wall);
             }
--- a/crates/pond-job/src/lead/order.rs
+++ b/crates/pond-job/src/lead/order.rs
@@ -32,7 +32,7 @@
     }
 
     /// Whether a placed run should go on.
-    fn wanted(&self, state: &State, run: RunName) -> bool {
+    pub(super) fn wanted(&self, state: &State, run: RunName) -> bool {
         let Some(job) = state.job(run.task.job).filter(|job| !job.phase.ended()) else {
             return false;
         };
--- a/crates/pond-job/src/lead/output.rs
+++ b/crates/pond-job/src/lead/output.rs
@@ -109,6 +109,25 @@
         /// How long nothing of its job has run, in milliseconds.
         still_ms: Span,
     },
+    /// A run that was given to a worker has not been on its lists for long.
+    Absent {
+        /// The run.
+        run: RunName,
+        /// Its worker.
+        worker: String,
+        /// How long this leader has known it as placed and not listed, in milliseconds.
+        since_ms: Span,
+        /// Whether there is a link to the worker's agent.
+        linked: bool,
+        /// Whether the worker answers its agent.
+        answers: bool,
+        /// Whether the agent knows of the run.
+        told: bool,
+        /// Whether the run is to be stopped.
+        stops: bool,
+        /// How often it was ordered to start or stop since the link opened.
+        orders: u32,
+    },
     /// A worker gets nothing for a while.
     Sick {
         /// Its life.
@@ -128,6 +147,7 @@
             Decision::Moved { .. } => "moved",
             Decision::Waiting { .. } => "waiting",
             Decision::Tried { .. } => "tried",
+            Decision::Absent { .. } => "absent",
             Decision::Sick { .. } => "sick",
         }
     }
--- a/crates/pond-job/src/lead/worker.rs
+++ b/crates/pond-job/src/lead/worker.rs
@@ -10,13 +10,15 @@
 use super::progress::Progress;
 use crate::change::End;
 
-/// The last order about a run.
+/// The orders about a run since the link opened.
 #[derive(Clone, Copy, Debug)]
 pub struct Ordered {
-    /// Whether it was to go on, or to stop.
+    /// Whether by the last it was to go on, or to stop.
     pub go_on: bool,
-    /// When it was sent.
+    /// When the last was sent.
     pub at: Millis,
+    /// How many were sent.
+    pub times: u32,
 }
 
 /// One life of a worker.
@@ -51,7 +53,7 @@
     pub progress: BTreeMap<RunName, Progress>,
     /// How the agent was told to watch each run.
     pub watched: BTreeMap<RunName, Watch>,
-    /// How each run was last ordered to start or stop.
+    /// The orders to start or stop each run since the link opened.
     pub ordered: BTreeMap<RunName, Ordered>,
     /// Ends up to this number are proposed.
     pub proposed: u64,
@@ -139,8 +141,14 @@
         last.is_none_or(|last| now.since(last.at) >= ORDER_AGAIN_MS)
     }
 
-    /// A run is ordered to go on or to stop.
+    /// Remembers that a run was ordered to go on or to stop.
     pub fn note_order(&mut self, run: RunName, go_on: bool, now: Millis) {
-        self.ordered.insert(run, Ordered { go_on, at: now });
+        let times = self.ordered.get(&run).map_or(0, |before| before.times);
+        self.ordered.insert(run, Ordered { go_on, at: now, times: times.saturating_add(1) });
+    }
+
+    /// Whether the worker itself has listed a run.
+    pub fn has_listed(&self, run: RunName) -> bool {
+        self.rows.get(&run).is_some_and(|row| !row.unlisted)
     }
 }
--- a/crates/pond-job/tests/ghosts.rs
+++ b/crates/pond-job/tests/ghosts.rs
@@ -460,3 +460,75 @@
         questions.iter().flat_map(|asked| &asked.workers).map(String::as_str).collect();
     assert_eq!((questions.len(), named), (1, lives.to_vec()));
 }
+
+/// The lines about runs that are not listed: how long, and how often each was ordered.
+fn absences(bench: &Bench) -> Vec<(RunName, Span, u32)> {
+    let line = |decision: &Decision| match decision {
+        Decision::Absent { run, since_ms, orders, .. } => Some((*run, *since_ms, *orders)),
+        _ => None,
+    };
+    bench.decided.iter().filter_map(line).collect()
+}
+
+#[test]
+fn run_that_is_not_listed_gets_a_line_after_two_seconds_and_one_a_second() {
+    let mut bench = ordered();
+    until(&mut bench, 1_950, &["a"], keep, |_| false);
+    assert!(absences(&bench).is_empty());
+    until(&mut bench, 3_000, &["a"], keep, |_| false);
+    let lines = absences(&bench);
+    assert_eq!(lines.len(), 3, "{lines:?}");
+    assert!(lines.iter().all(|(there, since_ms, orders)| {
+        *there == run(1, 0, 1) && *since_ms >= 2_000 && *orders >= 2
+    }));
+}
+
+#[test]
+fn run_that_only_its_agent_tells_of_is_not_listed() {
+    let mut bench = ordered();
+    bench.obey("a");
+    let vm = bench.vms.get_mut("a").unwrap();
+    vm.runs.values_mut().for_each(|row| row.unlisted = true);
+    until(&mut bench, 2_900, &["a"], keep, |_| false);
+    let told = |decision: &Decision| match decision {
+        Decision::Absent { linked, answers, told, .. } => Some((*linked, *answers, *told)),
+        _ => None,
+    };
+    assert_eq!(bench.decided.iter().find_map(told), Some((true, true, true)));
+}
+
+#[test]
+fn run_that_is_listed_gets_no_line() {
+    let mut bench = running();
+    until(&mut bench, 8_000, &["a"], keep, |_| false);
+    assert!(absences(&bench).is_empty());
+}
+
+#[test]
+fn run_of_a_worker_without_a_link_gets_lines_that_say_so() {
+    let mut bench = ordered();
+    bench.leader.link_down(1_000);
+    until(&mut bench, 2_900, &[], keep, |_| false);
+    let linked = |decision: &Decision| match decision {
+        Decision::Absent { linked, .. } => Some(*linked),
+        _ => None,
+    };
+    assert_eq!(bench.decided.iter().find_map(linked), Some(false));
+}
+
+#[test]
+fn many_runs_that_are_not_listed_get_four_lines_in_a_look() {
+    let mut bench = Bench::new().with_vm("a", 100_000);
+    bench.submit(1, vec![step(100, 100)]);
+    bench.settle();
+    bench.now = bench.now + 2_500;
+    bench.settle();
+    bench.now = bench.now + 2_500;
+    bench.decided.clear();
+    bench.leader.tick(&bench.state, bench.now, bench.now, true).into_iter().for_each(|output| {
+        if let Output::Decided(decision) = output {
+            bench.decided.push(decision);
+        }
+    });
+    assert_eq!(absences(&bench).len(), 4);
+}
--- a/crates/pond-job/tests/support/mod.rs
+++ b/crates/pond-job/tests/support/mod.rs
@@ -251,7 +251,7 @@
         for run in started {
             let ended = vm.ends.iter().any(|end| end.run == run);
             if !ended {
-                let row = RunRow { run, save: String::new(), percent: 10, figure: 0 };
+                let row = RunRow { run, percent: 10, ..RunRow::default() };
                 vm.runs.entry(run).or_insert(row);
             }
         }
--- a/crates/pond-log/src/events.rs
+++ b/crates/pond-log/src/events.rs
@@ -153,6 +153,8 @@
         "see which obstacle counts most workers; rest points to sick workers, room to a full pool";
     RUN_TRIED = 621, Info, "a task that is expected to disturb has waited too long and is started",
         "nothing: its agent slows it down if need be";
+    RUN_ABSENT = 622, Warning, "a run that was given to a worker is not on its lists",
+        "see whether the worker is linked and answers; look for 614 on its agent";
     ADVISED = 619, Info, "the adviser said which workers may run a step", "nothing";
 }
 
--- a/crates/pond-proto/src/fleet.rs
+++ b/crates/pond-proto/src/fleet.rs
@@ -144,6 +144,9 @@
     /// in use; over the last half second.
     #[prost(uint32, tag = "4")]
     pub figure: u32,
+    /// The worker has not listed it yet; its agent tells of it because it was ordered.
+    #[prost(bool, tag = "5")]
+    pub unlisted: bool,
 }
 
 /// The end of a run at a worker.
--- a/crates/pond-replica/src/audit.rs
+++ b/crates/pond-replica/src/audit.rs
@@ -46,6 +46,11 @@
                 event!(self.log, RUN_TRIED, "run" => run.to_string(), "worker" => worker,
                     "still_ms" => still_ms);
             }
+            Decision::Absent { run, worker, since_ms, linked, answers, told, stops, orders } => {
+                event!(self.log, RUN_ABSENT, "run" => run.to_string(), "worker" => worker,
+                    "since_ms" => since_ms, "linked" => linked, "answers" => answers,
+                    "told" => told, "stops" => stops, "orders" => orders);
+            }
             Decision::Sick { worker, for_ms } => {
                 event!(self.log, WORKER_SICK, "worker" => worker, "for_ms" => for_ms);
             }
