Audit: only starts in force and ends that are news get a line

Cause: event 605 was written for every start of an entry, also for those that the state refused (a job that was cancelled meanwhile, a start that was proposed twice); such a 605 has neither a run nor a 606. As proposals of ends now hold what earlier ones held, 606 would have come twice.

Change: 605 by the state's reply; 606 for what was not settled before the entry was applied.

--- a/crates/pond-job/src/change.rs
+++ b/crates/pond-job/src/change.rs
@@ -115,6 +115,17 @@
         }
     }
 
+    /// The starts of this change that its reply tells to be in force; a job may have been cancelled
+    /// while they were on their way.
+    pub fn started(&self, reply: &Reply) -> Vec<&Start> {
+        match (self, reply) {
+            (Change::Start(starts), Reply::Started(runs)) => {
+                starts.iter().filter(|start| runs.contains(&start.run)).collect()
+            }
+            _ => Vec::new(),
+        }
+    }
+
     /// As bytes for the log.
     ///
     /// # Errors
--- a/crates/pond-job/src/state/mod.rs
+++ b/crates/pond-job/src/state/mod.rs
@@ -8,7 +8,7 @@
 use pond_proto::job::{Phase, RunName, Spec, Step, TaskName};
 use serde::{Deserialize, Serialize};
 
-use crate::change::{Change, Reply};
+use crate::change::{Change, End, Reply};
 use crate::configuration::Configuration;
 use crate::job::{Job, Task, longest_chain};
 use crate::lesson::Lesson;
@@ -87,6 +87,19 @@
         self.settled.get(worker).copied().unwrap_or(0)
     }
 
+    /// What of the ends and unstarted runs of a worker is news here; the rest was applied before.
+    pub fn unsettled<'a>(
+        &self,
+        worker: &str,
+        ends: &'a [End],
+        unstarted: &'a [RunName],
+    ) -> (Vec<&'a End>, Vec<&'a RunName>) {
+        let settled = self.settled(worker);
+        let has = |run: &&RunName| self.placed.get(worker).is_some_and(|runs| runs.contains(run));
+        let ends = ends.iter().filter(|end| end.number > settled).collect();
+        (ends, unstarted.iter().filter(has).collect())
+    }
+
     /// What former leaders learned of harm.
     pub fn lesson(&self) -> &Lesson {
         &self.lesson
--- a/crates/pond-job/tests/state.rs
+++ b/crates/pond-job/tests/state.rs
@@ -250,3 +250,35 @@
     assert_eq!(submit(&mut state, 1, job), Reply::Accepted);
     assert_eq!(state.job(1).unwrap().due(1), Millis(u64::MAX));
 }
+
+#[test]
+fn start_that_comes_after_its_job_was_cancelled_is_told_as_refused() {
+    let mut state = state(vec![step(1, 100)]);
+    let started = |state: &mut State, number: u32| {
+        let (worker, agent) = ("a".to_owned(), "agent".to_owned());
+        let change = Change::Start(vec![Start { run: run(0, 0, number), worker, agent }]);
+        let reply = state.apply(change.clone());
+        change.started(&reply).len()
+    };
+    assert_eq!(started(&mut state, 1), 1);
+    lose(&mut state, "a");
+    cancel(&mut state, 1);
+    assert_eq!(started(&mut state, 2), 0);
+}
+
+#[test]
+fn ends_and_unstarted_runs_are_news_once() {
+    let mut state = state(vec![step(2, 100)]);
+    start(&mut state, run(0, 0, 1), "a");
+    start(&mut state, run(0, 1, 1), "a");
+    let end = End { number: 1, run: run(0, 0, 1), how: How::Failed, save: String::new() };
+    let (ends, unstarted) = ([end], [run(0, 1, 1)]);
+    let news = |state: &State| {
+        let (ends, unstarted) = state.unsettled("a", &ends, &unstarted);
+        (ends.len(), unstarted.len())
+    };
+    let before = news(&state);
+    let worker = "a".to_owned();
+    state.apply(Change::Ended { worker, ends: ends.to_vec(), unstarted: unstarted.to_vec() });
+    assert_eq!((before, news(&state)), ((1, 1), (0, 0)));
+}
--- a/crates/pond-replica/src/audit.rs
+++ b/crates/pond-replica/src/audit.rs
@@ -1,8 +1,8 @@
 //! What a leader writes to the log: its decisions, and what applied changes did.
 
-use pond_job::{Change, Decision, End, Obstacle, Reply, Start};
+use pond_job::{Change, Decision, Obstacle, Reply, Start};
 use pond_log::event;
-use pond_proto::job::{Phase, RunName, Step};
+use pond_proto::job::{Phase, Step};
 
 use crate::replica::Replica;
 
@@ -74,26 +74,32 @@
                 event!(self.log, JOB_CANCELLED, "job" => format!("{id:016x}"),
                     "reply" => format!("{reply:?}"));
             }
-            Change::Start(starts) => self.log_starts(starts),
-            Change::Ended { worker, ends, unstarted } => self.log_ends(worker, ends, unstarted),
-            Change::WorkerLost { .. } | Change::Forget(_) | Change::Learned(_) => {}
+            Change::Start(_) => self.log_starts(change.started(reply)),
+            Change::Ended { .. }
+            | Change::WorkerLost { .. }
+            | Change::Forget(_)
+            | Change::Learned(_) => {}
         }
         if let Reply::Ended(jobs) = reply {
             self.log_ended_jobs(jobs);
         }
     }
 
-    fn log_starts(&self, starts: &[Start]) {
+    fn log_starts(&self, starts: Vec<&Start>) {
         for start in starts {
             event!(self.log, RUN_PLACED, "run" => start.run.to_string(),
                 "worker" => start.worker.clone());
         }
     }
 
-    fn log_ends(&self, worker: &str, ends: &[End], unstarted: &[RunName]) {
+    /// Logs what a change that is about to be applied brings to an end, on the leader only. A proposal
+    /// holds again what earlier ones held, which is no news.
+    pub(crate) fn log_ends(&self, change: &Change) {
+        let Change::Ended { worker, ends, unstarted } = change else { return };
+        let (ends, unstarted) = self.state.unsettled(worker, ends, unstarted);
         for end in ends {
             event!(self.log, RUN_ENDED, "run" => end.run.to_string(),
-                "worker" => worker.to_owned(), "how" => format!("{:?}", end.how),
+                "worker" => worker.clone(), "how" => format!("{:?}", end.how),
                 "number" => end.number);
         }
         for run in unstarted {
--- a/crates/pond-replica/src/outputs.rs
+++ b/crates/pond-replica/src/outputs.rs
@@ -125,6 +125,7 @@
             self.tell_waiter(entry, &reply);
             return;
         }
+        self.log_ends(&change);
         let reply = self.state.apply(change.clone());
         self.log_change(&change, &reply);
         if let Some(leader) = &mut self.leader {
