Property test of the bound on waits over the decision core: a pool with real agents in virtual time

A job whose image is taken to disturb can wait for longer than platforms bear; no test showed it. Seeded pools, jobs and faults, then calm; waits are taken from what the workers run.

--- /dev/null
+++ b/crates/pond-job/tests/world/book.rs
@@ -0,0 +1,154 @@
+//! The jobs that are handed in, and what their runs are like.
+
+use std::collections::BTreeMap;
+
+use pond_proto::job::{RunName, Spec, Step, TaskName};
+use rand::Rng;
+use rand::rngs::StdRng;
+
+/// Images of filling tasks.
+const FILLERS: [&str; 6] = ["grind", "press", "sift", "weave", "forge", "mill"];
+
+/// Images of serving tasks.
+const SERVERS: [&str; 3] = ["till", "desk", "gate"];
+
+/// Racks, which are labels of workers as well.
+pub const RACKS: [&str; 3] = ["rack-a", "rack-b", "rack-c"];
+
+/// The label of some workers.
+pub const SPECIAL: &str = "special";
+
+/// A job as its owner knows it.
+pub struct Work {
+    pub spec: Spec,
+    /// Every run of it fails.
+    pub hopeless: bool,
+    pub cancelled: bool,
+}
+
+/// All jobs, and what runs of each image do to others.
+pub struct Book {
+    pub seed: u64,
+    pub jobs: BTreeMap<u64, Work>,
+}
+
+impl Book {
+    pub fn step(&self, task: TaskName) -> Option<&Step> {
+        self.jobs.get(&task.job)?.spec.steps.get(task.step as usize)
+    }
+
+    /// How long a run works, in milliseconds; members of a gang take as long as each other.
+    pub fn work_ms(&self, run: RunName, step: &Step) -> f64 {
+        let index = if step.gang { 0 } else { run.task.index };
+        let drawn = self.unit(&[run.task.job, run.task.step.into(), index.into()]);
+        step.estimate_ms as f64 * (0.6 + drawn)
+    }
+
+    /// By how much a share of processors that a filling image uses presses on a serving one: half of
+    /// the pairs hardly at all, others up to five times that share.
+    pub fn harm(&self, server: &str, filler: &str) -> f64 {
+        let of = |name: &str| name.bytes().fold(7, |sum, byte| sum * 31 + u64::from(byte));
+        let pair = [of(server), of(filler)];
+        let size = self.unit(&[pair[1], pair[0]]);
+        if self.unit(&pair) < 0.5 { 0.1 * size } else { 0.5 + 4.5 * size }
+    }
+
+    /// A number below one that depends on nothing but the seed and these parts.
+    pub fn unit(&self, parts: &[u64]) -> f64 {
+        let mut mixed = self.seed ^ 0x9e37_79b9_7f4a_7c15;
+        for part in parts {
+            mixed = (mixed ^ part).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+            mixed ^= mixed >> 29;
+        }
+        (mixed >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
+
+fn any<'a>(rng: &mut StdRng, of: &[&'a str]) -> &'a str {
+    of[rng.random_range(0..of.len())]
+}
+
+fn step(rng: &mut StdRng, tasks: u32, milli_cpu: u32) -> Step {
+    Step {
+        tasks,
+        milli_cpu,
+        memory_mib: rng.random_range(100..900),
+        estimate_ms: rng.random_range(300..1_500),
+        saves: rng.random_bool(0.5),
+        ..Step::default()
+    }
+}
+
+fn filling(rng: &mut StdRng) -> Step {
+    let (tasks, milli_cpu) = (rng.random_range(2..=25), rng.random_range(1..=7) * 1_000);
+    let image = any(rng, &FILLERS).to_owned();
+    let estimate_ms = rng.random_range(500..3_000);
+    Step { fills: true, image, estimate_ms, ..step(rng, tasks, milli_cpu) }
+}
+
+fn quick(rng: &mut StdRng) -> Step {
+    let (tasks, milli_cpu) = (rng.random_range(1..=6), rng.random_range(2..=8) * 250);
+    step(rng, tasks, milli_cpu)
+}
+
+fn gang(rng: &mut StdRng) -> Step {
+    let tasks = rng.random_range(2..=5);
+    let like = if rng.random_bool(0.3) { filling(rng) } else { quick(rng) };
+    Step { gang: true, tasks, one_rack: rng.random_bool(0.5), ..like }
+}
+
+/// A chain or a fan of steps.
+fn several(rng: &mut StdRng) -> Vec<Step> {
+    let count = rng.random_range(2..=4u32);
+    let mut steps = Vec::new();
+    for i in 0..count {
+        let own = if rng.random_bool(0.5) { filling(rng) } else { quick(rng) };
+        let after = if i == 0 { Vec::new() } else { vec![rng.random_range(0..i)] };
+        steps.push(Step { tasks: own.tasks.min(8), after, ..own });
+    }
+    steps
+}
+
+/// A step that may not run everywhere.
+fn picky(rng: &mut StdRng) -> Step {
+    let mut own = if rng.random_bool(0.5) { filling(rng) } else { quick(rng) };
+    match rng.random_range(0..3) {
+        0 => own.required_label = SPECIAL.to_owned(),
+        1 => own.most_per_worker = rng.random_range(1..=2),
+        _ => own.data_rack = any(rng, &RACKS).to_owned(),
+    }
+    own
+}
+
+/// A job that ends by itself.
+pub fn passing(rng: &mut StdRng) -> Work {
+    let kind = rng.random_range(0..100);
+    let steps = match kind {
+        0..55 => vec![filling(rng)],
+        55..72 => vec![quick(rng)],
+        72..80 => vec![gang(rng)],
+        80..90 => several(rng),
+        90..96 => vec![picky(rng)],
+        _ => vec![if rng.random_bool(0.5) { filling(rng) } else { quick(rng) }],
+    };
+    work(steps, kind >= 96)
+}
+
+/// A job that serves until it is cancelled, on about this many thousandths of a processor.
+pub fn serving(rng: &mut StdRng, milli_cpu: u32) -> Work {
+    let each = rng.random_range(2..=6) * 1_000;
+    let tasks = (milli_cpu / each).max(1);
+    let lasting = Step {
+        lasting: true,
+        image: any(rng, &SERVERS).to_owned(),
+        tail_target_ms: rng.random_range(18..80),
+        memory_mib: rng.random_range(500..2_000),
+        ..step(rng, tasks, each)
+    };
+    work(vec![lasting], false)
+}
+
+fn work(steps: Vec<Step>, hopeless: bool) -> Work {
+    let spec = Spec { text: String::new(), steps, repeat: None };
+    Work { spec, hopeless, cancelled: false }
+}
--- /dev/null
+++ b/crates/pond-job/tests/world/mod.rs
@@ -0,0 +1,271 @@
+//! A pool of machines with real agents, a leader that may be replaced, and jobs that come in, all in
+//! virtual time and drawn from one seed.
+
+pub mod book;
+pub mod fault;
+pub mod machine;
+pub mod watch;
+pub mod worker;
+
+use std::collections::BTreeMap;
+
+use pond_job::{Change, Decision, Leader, Output, State};
+use pond_proto::job::{RunName, TaskName};
+use pond_proto::{Millis, Size, Span};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use crate::support::{BATCH, HOST, PATH, configuration, terms};
+use book::{Book, RACKS, SPECIAL, Work};
+use fault::Fault;
+use machine::Machine;
+use watch::Watch;
+use worker::{Whole, gang_of};
+
+/// Time passes in steps of this, in milliseconds.
+pub const STEP_MS: Span = 50;
+
+/// When everything begins.
+const START: Millis = Millis(100_000);
+
+/// What becomes of proposals.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Fate {
+    #[default]
+    Committed,
+    /// Many vanish, and nobody says so.
+    Lost,
+    /// They take up to this long.
+    Slow(Span),
+    /// They cannot be made.
+    Rejected,
+}
+
+pub struct World {
+    pub now: Millis,
+    pub rng: StdRng,
+    pub state: State,
+    /// None while nobody leads.
+    pub leader: Option<Leader>,
+    /// When the next leader begins, while nobody leads.
+    pub lead_at: Millis,
+    term: u64,
+    pub machines: Vec<Machine>,
+    pub book: Book,
+    pub fate: Fate,
+    /// Proposals on their way, in their order in the log.
+    commits: Vec<(Millis, Change)>,
+    /// Ends of faults.
+    pub mends: Vec<(Millis, Fault)>,
+    /// Jobs a second.
+    pub rate: f64,
+    links: u64,
+    /// What the leaders decided.
+    pub diary: Vec<(Millis, Decision)>,
+    pub watch: Watch,
+}
+
+impl World {
+    /// A pool with serving work on a part of it.
+    pub fn new(seed: u64) -> World {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut state = State::new();
+        state.apply(Change::Configure(configuration(1)));
+        let count = rng.random_range(3..=12);
+        let machines: Vec<Machine> = (0..count).map(|i| machine(&mut rng, i)).collect();
+        let processors: u32 = machines.iter().map(|machine| machine.room.milli_cpu).sum();
+        let rate = f64::from(processors) / 150_000.0 * rng.random_range(0.4..1.3);
+        let mut world = World {
+            now: START,
+            rng,
+            state,
+            leader: None,
+            lead_at: START,
+            term: 6,
+            machines,
+            book: Book { seed, jobs: BTreeMap::new() },
+            fate: Fate::Committed,
+            commits: Vec::new(),
+            mends: Vec::new(),
+            rate,
+            links: 0,
+            diary: Vec::new(),
+            watch: Watch::default(),
+        };
+        world.machines.iter_mut().for_each(|machine| machine.boot(START));
+        world.serve(processors);
+        world
+    }
+
+    /// Hands in serving jobs for a part of the pool.
+    fn serve(&mut self, processors: u32) {
+        let part = self.rng.random_range(0.1..0.4);
+        let jobs = self.rng.random_range(1..=6);
+        let each = (f64::from(processors) * part) as u32 / jobs;
+        for _ in 0..jobs {
+            let work = book::serving(&mut self.rng, each);
+            self.submit(work);
+        }
+    }
+
+    /// A step of time passes.
+    pub fn pass(&mut self) {
+        self.now = self.now + STEP_MS;
+        self.mend();
+        self.commit();
+        self.take_lead();
+        let whole = self.whole_gangs();
+        for i in 0..self.machines.len() {
+            self.link_up(i);
+            let reports = self.machines[i].pass(self.now, STEP_MS, &self.book, &whole);
+            let (Some(link), Some(leader)) = (self.machines[i].link, &mut self.leader) else {
+                continue;
+            };
+            for report in reports {
+                leader.report(&self.state, self.now, link, &self.machines[i].name, report);
+            }
+        }
+        self.lead();
+        self.look();
+    }
+
+    /// Jobs that end by themselves come in.
+    pub fn arrive(&mut self) {
+        if self.rng.random_bool((self.rate * STEP_MS as f64 / 1_000.0).min(1.0)) {
+            let work = book::passing(&mut self.rng);
+            self.submit(work);
+        }
+    }
+
+    pub fn submit(&mut self, work: Work) {
+        let id = self.book.jobs.len() as u64 + 1;
+        let fills = work.spec.steps.iter().any(|step| step.fills);
+        let prefix = if fills && self.rng.random_bool(0.8) { BATCH } else { PATH };
+        let (host, path) = (HOST.to_owned(), format!("{prefix}{id:016x}"));
+        let spec = work.spec.clone();
+        self.book.jobs.insert(id, work);
+        self.apply(Change::Submit { host, path, id, spec, at: self.now });
+    }
+
+    pub fn cancel(&mut self, id: u64) {
+        let Some(work) = self.book.jobs.get_mut(&id) else { return };
+        work.cancelled = true;
+        let (host, path) = (HOST.to_owned(), format!("{PATH}{id:016x}"));
+        self.apply(Change::Cancel { host, path, id });
+    }
+
+    fn apply(&mut self, change: Change) {
+        let reply = self.state.apply(change.clone());
+        if let Some(leader) = &mut self.leader {
+            leader.applied(&self.state, self.now, &change, &reply);
+        }
+    }
+
+    fn commit(&mut self) {
+        let now = self.now;
+        let due: Vec<_> = self.commits.extract_if(.., |(at, _)| *at <= now).collect();
+        for (_, change) in due {
+            self.apply(change);
+        }
+    }
+
+    /// Nobody leads from now on for a while; what was proposed may or may not come into the log.
+    pub fn depose(&mut self, gap_ms: Span) {
+        for (_, change) in std::mem::take(&mut self.commits) {
+            if self.rng.random_bool(0.5) {
+                self.apply(change);
+            }
+        }
+        self.leader = None;
+        self.lead_at = self.now + gap_ms;
+        for i in 0..self.machines.len() {
+            self.drop_link(i, 600);
+        }
+    }
+
+    fn take_lead(&mut self) {
+        if self.leader.is_some() || self.now < self.lead_at {
+            return;
+        }
+        self.term += 1;
+        let leader = Leader::new(self.term, terms(), self.now);
+        self.leader = Some(leader.with_lesson(self.state.lesson(), self.now));
+    }
+
+    /// The link of a machine closes; its agent finds the leader again within some time.
+    pub fn drop_link(&mut self, i: usize, within_ms: Span) {
+        if let (Some(link), Some(leader)) = (self.machines[i].link.take(), &mut self.leader) {
+            leader.link_down(link);
+        }
+        self.machines[i].join_at = self.now + self.rng.random_range(50..=within_ms);
+    }
+
+    fn link_up(&mut self, i: usize) {
+        let machine = &mut self.machines[i];
+        let waits = machine.link.is_none() && !machine.cut && self.now >= machine.join_at;
+        if waits && self.leader.is_some() {
+            self.links += 1;
+            machine.join(self.links, self.term);
+        }
+    }
+
+    fn lead(&mut self) {
+        let Some(leader) = &mut self.leader else { return };
+        for output in leader.tick(&self.state, self.now, self.now, true) {
+            match output {
+                Output::Propose(change) => self.propose(change),
+                Output::Order { link, order } => {
+                    let found = self.machines.iter_mut().find(|there| there.link == Some(link));
+                    if let Some(machine) = found {
+                        machine.send(self.now + STEP_MS, order);
+                    }
+                }
+                Output::Advise(_) => {}
+                Output::Decided(decision) => self.diary.push((self.now, decision)),
+            }
+        }
+    }
+
+    fn propose(&mut self, change: Change) {
+        let wait_ms = match self.fate {
+            Fate::Committed => self.rng.random_range(10..60),
+            Fate::Slow(most_ms) => self.rng.random_range(50..most_ms),
+            Fate::Lost if self.rng.random_bool(0.3) => 50,
+            Fate::Lost => return,
+            Fate::Rejected => {
+                if let (Change::Start(_), Some(leader)) = (&change, &mut self.leader) {
+                    leader.start_rejected();
+                }
+                return;
+            }
+        };
+        let before = self.commits.last().map_or(Millis(0), |(at, _)| *at);
+        self.commits.push((before.max(self.now + wait_ms), change));
+    }
+
+    /// All runs at workers.
+    pub fn runs(&self) -> impl Iterator<Item = (&worker::Worker, RunName, &worker::Run)> {
+        let workers = self.machines.iter().filter_map(|machine| machine.worker.as_ref());
+        workers.flat_map(|worker| worker.runs.iter().map(move |(run, there)| (worker, *run, there)))
+    }
+
+    fn whole_gangs(&self) -> Whole {
+        let mut members: BTreeMap<(TaskName, u32), (u32, u32)> = BTreeMap::new();
+        for (_, name, run) in self.runs().filter(|(_, _, run)| run.step.gang) {
+            let (there, of) = members.entry(gang_of(name)).or_insert((0, run.step.tasks));
+            *there += 1;
+            *of = run.step.tasks;
+        }
+        members.into_iter().filter(|(_, (there, of))| there >= of).map(|(gang, _)| gang).collect()
+    }
+}
+
+fn machine(rng: &mut StdRng, i: usize) -> Machine {
+    let processors = if rng.random_bool(0.6) { 32 } else { 16 };
+    let room = Size::new(processors * 1_000, processors * 2_048, 0);
+    let mut labels = vec![RACKS[i % RACKS.len()].to_owned()];
+    if i < 2 || rng.random_bool(0.3) {
+        labels.push(SPECIAL.to_owned());
+    }
+    Machine::new(format!("m{i:02}"), room, labels, rng.random_range(980..=1_000))
+}
--- /dev/null
+++ b/crates/pond-job/tests/world/watch.rs
@@ -0,0 +1,230 @@
+//! What must hold: at all times for runs at the workers, and after calm for jobs that wait.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use pond_job::{Decision, Job, Obstacle};
+use pond_proto::job::{Step, TaskName};
+use pond_proto::{Millis, Size, Span};
+
+use super::World;
+use super::worker::Worker;
+
+/// A lasting task counts as waiting only this long after its last run, in milliseconds.
+const LASTING_AFTER_MS: Span = 6_000;
+
+/// Decisions about a job that are shown if it waits too long.
+const SHOWN: usize = 12;
+
+/// Something that waits: a job of which nothing runs, or one lasting task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Waiter {
+    Job(u64),
+    Task(TaskName),
+}
+
+/// Something waited longer than allowed.
+pub struct Finding {
+    pub cause: &'static str,
+    pub text: String,
+}
+
+/// What was seen so far.
+#[derive(Default)]
+pub struct Watch {
+    /// Waits count from here on; none while there are faults.
+    pub from: Option<Millis>,
+    /// Longer waits are findings, in milliseconds.
+    pub bound_ms: Span,
+    pub since: BTreeMap<Waiter, Millis>,
+    pub longest: BTreeMap<Waiter, Span>,
+    /// When lasting tasks last ran.
+    ran: BTreeMap<TaskName, Millis>,
+    pub findings: BTreeMap<Waiter, Finding>,
+    /// Rules about runs that were broken.
+    pub broken: Vec<String>,
+}
+
+impl World {
+    /// Looks at all that can be seen at the workers.
+    pub fn look(&mut self) {
+        self.look_at_runs();
+        let Some(from) = self.watch.from.filter(|from| self.now >= *from) else { return };
+        let waiting = self.waiting();
+        self.watch.since.retain(|waiter, _| waiting.contains(waiter));
+        for waiter in waiting {
+            let since = *self.watch.since.entry(waiter).or_insert(self.now.max(from));
+            let waited = self.now.since(since);
+            let longest = self.watch.longest.entry(waiter).or_default();
+            *longest = waited.max(*longest);
+            if waited > self.watch.bound_ms && !self.watch.findings.contains_key(&waiter) {
+                let finding = self.explain(waiter);
+                self.watch.findings.insert(waiter, finding);
+            }
+        }
+    }
+
+    fn look_at_runs(&mut self) {
+        let mut broken = Vec::new();
+        let mut tasks: BTreeMap<TaskName, String> = BTreeMap::new();
+        let mut ran = Vec::new();
+        for (worker, name, run) in self.runs() {
+            if let Some(other) = tasks.insert(name.task, worker.life.clone()) {
+                broken.push(format!("{name} runs on {} and on {other}", worker.life));
+            }
+            if run.step.lasting {
+                ran.push(name.task);
+            }
+        }
+        for worker in self.machines.iter_mut().filter_map(|machine| machine.worker.as_mut()) {
+            if !worker.taken().fits(worker.room) {
+                broken.push(format!("{} has {} of {}", worker.life, worker.taken(), worker.room));
+            }
+            for name in std::mem::take(&mut worker.begun) {
+                let job = self.state.job(name.task.job);
+                let done = job.and_then(|job| job.task(name.task)).is_some_and(|task| task.done);
+                if done {
+                    broken.push(format!("{name} began on {} after its end", worker.life));
+                }
+            }
+        }
+        let now = self.now;
+        self.watch.ran.extend(ran.into_iter().map(|task| (task, now)));
+        self.watch.broken.extend(broken.into_iter().map(|what| format!("at {}: {what}", now.0)));
+    }
+
+    /// What waits although there is room for it twice over.
+    fn waiting(&self) -> Vec<Waiter> {
+        let mut waiting = Vec::new();
+        if !self.half_free() {
+            return waiting;
+        }
+        let at_work: BTreeSet<TaskName> = self.runs().map(|(_, run, _)| run.task).collect();
+        let busy: BTreeSet<u64> = at_work.iter().map(|task| task.job).collect();
+        for (id, job) in self.state.active().filter(|(_, job)| !job.phase.ended()) {
+            for (step_index, step) in job.spec.steps.iter().enumerate() {
+                let idle = !busy.contains(&id);
+                if !(idle || step.lasting) || !job.turn(0, step_index) || !self.fits(id, step) {
+                    continue;
+                }
+                for task in open_tasks(id, job, step_index) {
+                    if idle {
+                        waiting.push(Waiter::Job(id));
+                    }
+                    if step.lasting && !at_work.contains(&task) && self.away_long(task) {
+                        waiting.push(Waiter::Task(task));
+                    }
+                }
+            }
+        }
+        waiting
+    }
+
+    fn away_long(&self, task: TaskName) -> bool {
+        let ran = self.watch.ran.get(&task);
+        ran.is_none_or(|at| self.now.since(*at) >= LASTING_AFTER_MS)
+    }
+
+    fn workers(&self) -> impl Iterator<Item = &Worker> {
+        self.machines.iter().filter_map(|machine| machine.worker.as_ref())
+    }
+
+    /// Whether less than half of the pool is in use.
+    fn half_free(&self) -> bool {
+        let sum = |sum: Size, size: Size| sum.plus(size);
+        let taken = self.workers().map(Worker::taken).fold(Size::default(), sum);
+        let room = self.workers().map(|worker| worker.room).fold(Size::default(), sum);
+        taken.milli_cpu * 2 < room.milli_cpu && taken.memory_mib * 2 < room.memory_mib
+    }
+
+    /// Whether there is room for a task of a step twice over, for a gang with all its tasks.
+    fn fits(&self, id: u64, step: &Step) -> bool {
+        let need = if step.gang { step.tasks } else { 1 };
+        let places: u32 = self.workers().map(|worker| places(worker, id, step)).sum();
+        places >= 2 * need
+    }
+
+    /// Why something waits, as far as it can be told from outside.
+    fn explain(&self, waiter: Waiter) -> Finding {
+        let id = match waiter {
+            Waiter::Job(id) => id,
+            Waiter::Task(task) => task.job,
+        };
+        let about: Vec<&(Millis, Decision)> =
+            self.diary.iter().filter(|(_, decision)| concerns(decision, id)).collect();
+        let cause = self.cause(id, &about);
+        let mut text = format!("{waiter:?} at {} waits: {cause}", self.now.0);
+        if let Some(job) = self.state.job(id) {
+            let steps: Vec<String> = job.spec.steps.iter().map(Step::to_string).collect();
+            text += &format!("\n  {} placed {} of {steps:?}", job.queue, job.placed);
+            for task in job.times.iter().flatten().flatten().filter(|task| task.worker.is_some()) {
+                text += &format!("\n  run {} is placed on {:?}", task.run, task.worker);
+            }
+        }
+        for (at, decision) in about.iter().skip(about.len().saturating_sub(SHOWN)) {
+            text += &format!("\n  {} {decision:?}", at.0);
+        }
+        Finding { cause, text }
+    }
+
+    fn cause(&self, id: u64, about: &[&(Millis, Decision)]) -> &'static str {
+        let Some(job) = self.state.job(id) else { return "no such job" };
+        if job.placed > 0 {
+            return "what is placed runs nowhere";
+        }
+        if job.spec.steps.iter().any(|step| step.gang) {
+            return "a gang gets no trial";
+        }
+        let lately = about.iter().rev().find_map(|(at, decision)| match decision {
+            Decision::Waiting { obstacles, .. } if self.now.since(*at) < 1_500 => Some(obstacles),
+            _ => None,
+        });
+        let Some(obstacles) = lately else { return "no plan says why" };
+        let there = |obstacle| obstacles.count(obstacle) > 0;
+        if there(Obstacle::Harm) || there(Obstacle::Busy) {
+            "a guess, and no trial is free"
+        } else if there(Obstacle::Kept) {
+            "room is kept for others"
+        } else if there(Obstacle::NoTicket) {
+            "no ticket"
+        } else if there(Obstacle::Resting) {
+            "workers rest or are probed"
+        } else {
+            "room is taken in the state only"
+        }
+    }
+}
+
+/// The tasks of a step that are not done.
+fn open_tasks(id: u64, job: &Job, step: usize) -> Vec<TaskName> {
+    let tasks = job.times[0][step].iter().enumerate().filter(|(_, task)| !task.done);
+    let name = |index| TaskName { job: id, time: 0, step: step as u32, index };
+    tasks.map(|(index, _)| name(index as u32)).collect()
+}
+
+/// How many more tasks of a step a worker has room for.
+fn places(worker: &Worker, id: u64, step: &Step) -> u32 {
+    let label = &step.required_label;
+    if !label.is_empty() && !worker.labels.contains(label) {
+        return 0;
+    }
+    let free = worker.room.minus(worker.taken());
+    let (size, most) = (step.size(), u32::MAX / 64);
+    let of = |free: u32, need: u32| free.checked_div(need).unwrap_or(most);
+    let room = of(free.milli_cpu, size.milli_cpu).min(of(free.memory_mib, size.memory_mib));
+    if step.most_per_worker == 0 {
+        return room;
+    }
+    let alike = worker.runs.iter().filter(|(name, run)| name.task.job == id && run.step == *step);
+    room.min(step.most_per_worker.saturating_sub(alike.count() as u32))
+}
+
+/// Whether a decision is about a job.
+fn concerns(decision: &Decision, id: u64) -> bool {
+    match decision {
+        Decision::Waiting { job, .. } => *job == id,
+        Decision::Stalled { run, .. }
+        | Decision::Moved { run, .. }
+        | Decision::Tried { run, .. } => run.task.job == id,
+        _ => false,
+    }
+}
