--- a/crates/pond-job/tests/bound.rs
+++ b/crates/pond-job/tests/bound.rs
@@ -15,8 +15,8 @@
 
 use pond_proto::{Millis, Span};
 use rand::Rng;
-use world::World;
 use world::fault::Fault;
+use world::{STEP_MS, World};
 
 /// The longest that a job may wait with nothing running, in milliseconds: what users bear.
 const WAIT_BOUND_MS: Span = 3_000;
@@ -41,7 +41,7 @@
     seed: u64,
     /// The longest wait of each job that waited.
     waits: Vec<Span>,
-    findings: Vec<(&'static str, String)>,
+    findings: Vec<(String, String)>,
     broken: Vec<String>,
 }
 
@@ -76,7 +76,11 @@
     }
     let counted_from = world.now + SETTLING_MS;
     world.watch.from = Some(counted_from);
-    pass_until(&mut world, counted_from + WATCHED_MS, None);
+    while world.now < counted_from + WATCHED_MS {
+        press(&mut world);
+        let until = world.now + STEP_MS;
+        pass_until(&mut world, until, None);
+    }
     let findings = world.watch.findings.into_values();
     Outcome {
         seed,
@@ -106,6 +110,15 @@
     }
 }
 
+/// What is no fault: many jobs at once, and many that are cancelled.
+fn press(world: &mut World) {
+    match world.rng.random_range(0..400) {
+        0 => world.burst(),
+        1 => world.cancel_many(),
+        _ => {}
+    }
+}
+
 #[test]
 fn nothing_waits_beyond_the_bound_once_faults_are_over() {
     let mut causes: BTreeMap<&str, usize> = BTreeMap::new();
--- a/crates/pond-job/tests/world/book.rs
+++ b/crates/pond-job/tests/world/book.rs
@@ -23,9 +23,24 @@
     pub spec: Spec,
     /// Every run of it fails.
     pub hopeless: bool,
+    /// An adviser decides which workers may run it.
+    pub advised: bool,
     pub cancelled: bool,
 }
 
+impl Work {
+    pub fn lasts(&self) -> bool {
+        self.spec.steps.iter().any(|step| step.lasting)
+    }
+
+    pub fn fills(&self) -> bool {
+        self.spec.steps.iter().any(|step| step.fills)
+    }
+}
+
+/// The share of workers that an adviser allows.
+const ALLOWED: f64 = 0.7;
+
 /// All jobs, and what runs of each image do to others.
 pub struct Book {
     pub seed: u64,
@@ -37,6 +52,12 @@
         self.jobs.get(&task.job)?.spec.steps.get(task.step as usize)
     }
 
+    /// Whether a life of a worker may run a job, as its adviser sees it.
+    pub fn allows(&self, id: u64, life: &str) -> bool {
+        let advised = self.jobs.get(&id).is_some_and(|work| work.advised);
+        !advised || self.unit(&[id, number_of(life)]) < ALLOWED
+    }
+
     /// How long a run works, in milliseconds; members of a gang take as long as each other.
     pub fn work_ms(&self, run: RunName, step: &Step) -> f64 {
         let index = if step.gang { 0 } else { run.task.index };
@@ -47,8 +68,7 @@
     /// By how much a share of processors that a filling image uses presses on a serving one: half of
     /// the pairs hardly at all, others up to five times that share.
     pub fn harm(&self, server: &str, filler: &str) -> f64 {
-        let of = |name: &str| name.bytes().fold(7, |sum, byte| sum * 31 + u64::from(byte));
-        let pair = [of(server), of(filler)];
+        let pair = [number_of(server), number_of(filler)];
         let size = self.unit(&[pair[1], pair[0]]);
         if self.unit(&pair) < 0.5 { 0.1 * size } else { 0.5 + 4.5 * size }
     }
@@ -64,6 +84,11 @@
     }
 }
 
+/// A number for a name.
+fn number_of(name: &str) -> u64 {
+    name.bytes().fold(7, |sum, byte| sum * 31 + u64::from(byte))
+}
+
 fn any<'a>(rng: &mut StdRng, of: &[&'a str]) -> &'a str {
     of[rng.random_range(0..of.len())]
 }
@@ -86,8 +111,11 @@
     Step { fills: true, image, estimate_ms, ..step(rng, tasks, milli_cpu) }
 }
 
+/// Tasks that take processors for themselves, one in ten of them many.
 fn quick(rng: &mut StdRng) -> Step {
-    let (tasks, milli_cpu) = (rng.random_range(1..=6), rng.random_range(2..=8) * 250);
+    let large = rng.random_bool(0.1);
+    let milli_cpu = if large { 6_000 } else { rng.random_range(2..=8) * 250 };
+    let tasks = rng.random_range(1..=if large { 2 } else { 6 });
     step(rng, tasks, milli_cpu)
 }
 
@@ -109,46 +137,48 @@
     steps
 }
 
-/// A step that may not run everywhere.
-fn picky(rng: &mut StdRng) -> Step {
-    let mut own = if rng.random_bool(0.5) { filling(rng) } else { quick(rng) };
+/// Makes a step that may not run everywhere.
+fn picky(rng: &mut StdRng, step: Step) -> Step {
     match rng.random_range(0..3) {
-        0 => own.required_label = SPECIAL.to_owned(),
-        1 => own.most_per_worker = rng.random_range(1..=2),
-        _ => own.data_rack = any(rng, &RACKS).to_owned(),
+        0 => Step { required_label: SPECIAL.to_owned(), ..step },
+        1 => Step { most_per_worker: rng.random_range(1..=2), ..step },
+        _ => Step { data_rack: any(rng, &RACKS).to_owned(), ..step },
     }
-    own
 }
 
-/// A job that ends by itself.
-pub fn passing(rng: &mut StdRng) -> Work {
-    let kind = rng.random_range(0..100);
-    let steps = match kind {
-        0..55 => vec![filling(rng)],
-        55..72 => vec![quick(rng)],
-        72..80 => vec![gang(rng)],
-        80..90 => several(rng),
-        90..96 => vec![picky(rng)],
-        _ => vec![if rng.random_bool(0.5) { filling(rng) } else { quick(rng) }],
+/// A job that ends by itself; it is hopeless or needs an adviser with these chances.
+pub fn passing(rng: &mut StdRng, hopeless: f64, advised: f64) -> Work {
+    let mut steps = match rng.random_range(0..100) {
+        0..60 => vec![filling(rng)],
+        60..80 => vec![quick(rng)],
+        80..88 => vec![gang(rng)],
+        _ => several(rng),
     };
-    work(steps, kind >= 96)
+    if rng.random_bool(0.1) {
+        steps = steps.into_iter().map(|step| picky(rng, step)).collect();
+    }
+    Work {
+        spec: Spec { text: String::new(), steps, repeat: None },
+        hopeless: rng.random_bool(hopeless),
+        advised: rng.random_bool(advised),
+        cancelled: false,
+    }
 }
 
 /// A job that serves until it is cancelled, on about this many thousandths of a processor.
 pub fn serving(rng: &mut StdRng, milli_cpu: u32) -> Work {
     let each = rng.random_range(2..=6) * 1_000;
     let tasks = (milli_cpu / each).max(1);
-    let lasting = Step {
+    let mut lasting = Step {
         lasting: true,
         image: any(rng, &SERVERS).to_owned(),
         tail_target_ms: rng.random_range(18..80),
         memory_mib: rng.random_range(500..2_000),
         ..step(rng, tasks, each)
     };
-    work(vec![lasting], false)
-}
-
-fn work(steps: Vec<Step>, hopeless: bool) -> Work {
-    let spec = Spec { text: String::new(), steps, repeat: None };
-    Work { spec, hopeless, cancelled: false }
+    if rng.random_bool(0.2) {
+        lasting = picky(rng, lasting);
+    }
+    let spec = Spec { text: String::new(), steps: vec![lasting], repeat: None };
+    Work { spec, hopeless: false, advised: false, cancelled: false }
 }
--- a/crates/pond-job/tests/world/fault.rs
+++ b/crates/pond-job/tests/world/fault.rs
@@ -104,19 +104,16 @@
         self.depose(300);
     }
 
-    fn burst(&mut self) {
+    pub fn burst(&mut self) {
         for _ in 0..(self.rate * 8.0) as usize + 2 {
-            let work = book::passing(&mut self.rng);
-            self.submit(work);
+            self.submit_passing();
         }
     }
 
     /// Half of the jobs that end by themselves are cancelled.
-    fn cancel_many(&mut self) {
-        let open = |(id, work): (&u64, &book::Work)| {
-            let lasts = work.spec.steps.iter().any(|step| step.lasting);
-            (!work.cancelled && !lasts).then_some(*id)
-        };
+    pub fn cancel_many(&mut self) {
+        let open =
+            |(id, work): (&u64, &book::Work)| (!work.cancelled && !work.lasts()).then_some(*id);
         let ids: Vec<u64> = self.book.jobs.iter().filter_map(open).collect();
         for id in ids {
             if self.rng.random_bool(0.5) {
--- a/crates/pond-job/tests/world/mod.rs
+++ b/crates/pond-job/tests/world/mod.rs
@@ -9,13 +9,13 @@
 
 use std::collections::BTreeMap;
 
-use pond_job::{Change, Decision, Leader, Output, State};
+use pond_job::{Change, Decision, Leader, Output, Permit, Question, State};
 use pond_proto::job::{RunName, TaskName};
 use pond_proto::{Millis, Size, Span};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-use crate::support::{BATCH, HOST, PATH, configuration, terms};
+use crate::support::{ADVISED, BATCH, HOST, PATH, configuration, terms};
 use book::{Book, RACKS, SPECIAL, Work};
 use fault::Fault;
 use machine::Machine;
@@ -25,6 +25,9 @@
 /// Time passes in steps of this, in milliseconds.
 pub const STEP_MS: Span = 50;
 
+/// Serving jobs that are replaced by others in a second.
+const SERVING_RATE: f64 = 0.15;
+
 /// When everything begins.
 const START: Millis = Millis(100_000);
 
@@ -58,8 +61,14 @@
     commits: Vec<(Millis, Change)>,
     /// Ends of faults.
     pub mends: Vec<(Millis, Fault)>,
-    /// Jobs a second.
+    /// Jobs a second that end by themselves.
     pub rate: f64,
+    /// The share of them that cannot be done.
+    hopeless: f64,
+    /// The share of them that needs an adviser.
+    advised: f64,
+    /// Questions to the adviser, and when it has an answer.
+    questions: Vec<(Millis, Question)>,
     links: u64,
     /// What the leaders decided.
     pub diary: Vec<(Millis, Decision)>,
@@ -76,6 +85,8 @@
         let machines: Vec<Machine> = (0..count).map(|i| machine(&mut rng, i)).collect();
         let processors: u32 = machines.iter().map(|machine| machine.room.milli_cpu).sum();
         let rate = f64::from(processors) / 150_000.0 * rng.random_range(0.4..1.3);
+        let hopeless = if rng.random_bool(0.3) { 0.25 } else { 0.04 };
+        let advised = if rng.random_bool(0.3) { 0.2 } else { 0.0 };
         let mut world = World {
             now: START,
             rng,
@@ -89,6 +100,9 @@
             commits: Vec::new(),
             mends: Vec::new(),
             rate,
+            hopeless,
+            advised,
+            questions: Vec::new(),
             links: 0,
             diary: Vec::new(),
             watch: Watch::default(),
@@ -115,6 +129,7 @@
         self.mend();
         self.commit();
         self.take_lead();
+        self.advise();
         let whole = self.whole_gangs();
         for i in 0..self.machines.len() {
             self.link_up(i);
@@ -130,18 +145,42 @@
         self.look();
     }
 
-    /// Jobs that end by themselves come in.
+    /// Jobs come in, mostly such that end by themselves.
     pub fn arrive(&mut self) {
-        if self.rng.random_bool((self.rate * STEP_MS as f64 / 1_000.0).min(1.0)) {
-            let work = book::passing(&mut self.rng);
-            self.submit(work);
+        let step = STEP_MS as f64 / 1_000.0;
+        if self.rng.random_bool((self.rate * step).min(1.0)) {
+            self.submit_passing();
         }
+        if self.rng.random_bool(SERVING_RATE * step) {
+            self.change_serving();
+        }
+    }
+
+    pub fn submit_passing(&mut self) {
+        let (hopeless, advised) = (self.hopeless, self.advised);
+        let work = book::passing(&mut self.rng, hopeless, advised);
+        self.submit(work);
+    }
+
+    /// A serving job is cancelled, and another one comes.
+    fn change_serving(&mut self) {
+        let open = |(_, work): &(&u64, &Work)| work.lasts() && !work.cancelled;
+        let Some((id, work)) = self.book.jobs.iter().find(open) else { return };
+        let (id, step) = (*id, &work.spec.steps[0]);
+        let milli_cpu = step.milli_cpu * step.tasks;
+        self.cancel(id);
+        let work = book::serving(&mut self.rng, milli_cpu);
+        self.submit(work);
     }
 
     pub fn submit(&mut self, work: Work) {
         let id = self.book.jobs.len() as u64 + 1;
-        let fills = work.spec.steps.iter().any(|step| step.fills);
-        let prefix = if fills && self.rng.random_bool(0.8) { BATCH } else { PATH };
+        let low = work.fills() && self.rng.random_bool(0.8);
+        let prefix = match work.advised {
+            true => ADVISED,
+            false if low => BATCH,
+            false => PATH,
+        };
         let (host, path) = (HOST.to_owned(), format!("{prefix}{id:016x}"));
         let spec = work.spec.clone();
         self.book.jobs.insert(id, work);
@@ -178,6 +217,7 @@
             }
         }
         self.leader = None;
+        self.questions.clear();
         self.lead_at = self.now + gap_ms;
         for i in 0..self.machines.len() {
             self.drop_link(i, 600);
@@ -221,12 +261,30 @@
                         machine.send(self.now + STEP_MS, order);
                     }
                 }
-                Output::Advise(_) => {}
+                Output::Advise(question) => {
+                    let named = question.workers.len() as u64;
+                    let takes_ms = question.advice.decide_ms + question.advice.each_ms * named;
+                    self.questions.push((self.now + takes_ms, question));
+                }
                 Output::Decided(decision) => self.diary.push((self.now, decision)),
             }
         }
     }
 
+    /// The adviser answers what it was asked.
+    fn advise(&mut self) {
+        let (now, book) = (self.now, &self.book);
+        for (_, question) in self.questions.extract_if(.., |(at, _)| *at <= now) {
+            let ticket = (now + question.advice.valid_ms).0.to_string();
+            let allowed =
+                question.workers.iter().filter(|life| book.allows(question.step.job, life));
+            let permit = |life: &String| Permit { worker: life.clone(), ticket: ticket.clone() };
+            if let Some(leader) = &mut self.leader {
+                leader.advised(now, &question, Some(allowed.map(permit).collect()));
+            }
+        }
+    }
+
     fn propose(&mut self, change: Change) {
         let wait_ms = match self.fate {
             Fate::Committed => self.rng.random_range(10..60),
--- a/crates/pond-job/tests/world/watch.rs
+++ b/crates/pond-job/tests/world/watch.rs
@@ -24,6 +24,19 @@
 /// line a second for each job.
 const LATELY_MS: Span = 1_200;
 
+/// Above this share of free processors the leader takes room for plenty, in percent.
+const PLENTY_PERCENT: u32 = 40;
+
+/// What may be in the way on workers on which a task may run.
+const OBSTACLES: [Obstacle; 6] = [
+    Obstacle::Resting,
+    Obstacle::NoRoom,
+    Obstacle::Kept,
+    Obstacle::Busy,
+    Obstacle::NoTicket,
+    Obstacle::Harm,
+];
+
 /// Something that waits: a job of which nothing runs, or one lasting task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Waiter {
@@ -33,7 +46,7 @@
 
 /// Something waited longer than allowed.
 pub struct Finding {
-    pub cause: &'static str,
+    pub cause: String,
     pub text: String,
 }
 
@@ -165,7 +178,8 @@
     /// Whether there is room for a task of a step twice over, for a gang with all its tasks.
     fn fits(&self, id: u64, step: &Step) -> bool {
         let need = if step.gang { step.tasks } else { 1 };
-        let places: u32 = self.workers().map(|worker| places(worker, id, step)).sum();
+        let allowed = self.workers().filter(|worker| self.book.allows(id, &worker.life));
+        let places: u32 = allowed.map(|worker| places(worker, id, step)).sum();
         places >= 2 * need
     }
 
@@ -211,38 +225,43 @@
         )
     }
 
-    fn cause(&self, id: u64, about: &[&(Millis, Decision)]) -> &'static str {
-        let Some(job) = self.state.job(id) else { return "no such job" };
-        let waited = about.iter().rev().find_map(|(at, decision)| match decision {
-            Decision::Waiting { placed: 0, .. } | Decision::Tried { .. } => Some(*at),
-            _ => None,
+    /// What is in the way of a job, in a few words that tell causes apart.
+    fn cause(&self, id: u64, about: &[&(Millis, Decision)]) -> String {
+        let Some(job) = self.state.job(id) else { return "no such job".to_owned() };
+        let last = about.iter().rev().find(|(_, decision)| {
+            matches!(decision, Decision::Waiting { .. } | Decision::Tried { .. })
         });
         if job.placed > 0 {
-            let lately = waited.is_some_and(|at| self.now.since(at) <= LATELY_MS);
-            return if lately { "a start came late" } else { "what is placed runs nowhere" };
+            let lately = last.is_some_and(|(at, _)| self.now.since(*at) <= LATELY_MS);
+            let cause = if lately { "a start came late" } else { "what is placed runs nowhere" };
+            return cause.to_owned();
         }
-        if job.spec.steps.iter().any(|step| step.gang) {
-            return "a gang gets no trial";
-        }
-        let lately = about.iter().rev().find_map(|(at, decision)| match decision {
-            Decision::Waiting { obstacles, .. } if self.now.since(*at) <= LATELY_MS => {
-                Some(obstacles)
-            }
+        let waiting = about.iter().rev().find_map(|(at, decision)| match decision {
+            Decision::Waiting { obstacles, since_ms, .. } => Some((*at, obstacles, *since_ms)),
             _ => None,
         });
-        let Some(obstacles) = lately else { return "no plan says why" };
-        let there = |obstacle| obstacles.count(obstacle) > 0;
-        if there(Obstacle::Harm) || there(Obstacle::Busy) {
-            "a guess, and no trial is free"
-        } else if there(Obstacle::Kept) {
-            "room is kept for others"
-        } else if there(Obstacle::NoTicket) {
-            "no ticket"
-        } else if there(Obstacle::Resting) {
-            "workers rest or are probed"
-        } else {
-            "room is taken in the state only"
+        let Some((at, obstacles, since_ms)) = waiting else { return "no plan".to_owned() };
+        let there = OBSTACLES.iter().filter(|there| obstacles.count(**there) > 0);
+        let mut cause = format!("{:?}", there.collect::<Vec<_>>());
+        if job.spec.steps.iter().any(|step| step.gang) {
+            cause += " gang";
+        }
+        if since_ms + self.now.since(at) < self.watch.bound_ms {
+            cause += " counted anew";
+        }
+        if self.free_percent() <= PLENTY_PERCENT {
+            cause += " scarce";
         }
+        cause
+    }
+
+    /// The share of the pool's processors that the state leaves free.
+    fn free_percent(&self) -> u32 {
+        let placed = self.state.workers().flat_map(|life| self.state.placed(life));
+        let sizes = placed.filter_map(|run| Some(self.state.step(run.task)?.size()));
+        let taken = sizes.fold(Size::default(), Size::plus).milli_cpu;
+        let room: u32 = self.workers().map(|worker| worker.room.milli_cpu).sum();
+        100 - (taken * 100 / room.max(1)).min(100)
     }
 }
 
--- a/crates/pond-job/tests/world/worker.rs
+++ b/crates/pond-job/tests/world/worker.rs
@@ -133,7 +133,9 @@
     }
 
     fn start(&mut self, now: Millis, book: &Book, call: &Call) -> Reply {
-        let Call::Start { run, save, lease_end_ms, .. } = call else { return Reply::Unknown };
+        let Call::Start { run, save, lease_end_ms, ticket, .. } = call else {
+            return Reply::Unknown;
+        };
         self.lease_end_ms = self.lease_end_ms.max(*lease_end_ms);
         let over = self.over.get(&run.task).copied().unwrap_or(0);
         if self.runs.contains_key(run) {
@@ -145,15 +147,26 @@
         if self.clock_ms(now) >= self.lease_end_ms {
             return Reply::Refused(Refusal::Late);
         }
-        let Some(step) = book.step(run.task).cloned() else {
+        let (Some(step), Some(work)) = (book.step(run.task).cloned(), book.jobs.get(&run.task.job))
+        else {
             return Reply::Refused(Refusal::Other);
         };
+        // A ticket tells until when it is good.
+        if work.advised && !ticket.parse::<u64>().is_ok_and(|until| now.0 < until) {
+            return Reply::Refused(Refusal::NoTicket);
+        }
         let work_ms = book.work_ms(*run, &step);
         // A save tells the thousandths of the work.
         let saved = save.parse::<f64>().map_or(0.0, |part| work_ms * part / 1_000.0);
-        let hopeless = book.jobs.get(&run.task.job).is_some_and(|work| work.hopeless);
-        let worked_ms = saved;
-        let new = Run { step, began: now, hopeless, work_ms, worked_ms, pace: 1.0, whole: false };
+        let new = Run {
+            step,
+            began: now,
+            hopeless: work.hopeless,
+            work_ms,
+            worked_ms: saved,
+            pace: 1.0,
+            whole: false,
+        };
         self.runs.insert(*run, new);
         self.begun.push(*run);
         Reply::Done
