--- a/crates/pond-job/tests/bound.rs
+++ b/crates/pond-job/tests/bound.rs
@@ -39,8 +39,8 @@
 /// What came of a seed.
 struct Outcome {
     seed: u64,
-    /// The longest wait of each job that waited.
-    waits: Vec<Span>,
+    /// The kind and the longest wait of each job that waited.
+    waits: Vec<(&'static str, Span)>,
     findings: Vec<(String, String)>,
     broken: Vec<String>,
 }
@@ -81,10 +81,12 @@
         let until = world.now + STEP_MS;
         pass_until(&mut world, until, None);
     }
+    let longest = world.watch.longest.iter();
+    let waits = longest.map(|(waiter, wait)| (world.kind(*waiter), *wait)).collect();
     let findings = world.watch.findings.into_values();
     Outcome {
         seed,
-        waits: world.watch.longest.into_values().collect(),
+        waits,
         findings: findings.map(|finding| (finding.cause, finding.text)).collect(),
         broken: world.watch.broken,
     }
@@ -122,10 +124,12 @@
 #[test]
 fn nothing_waits_beyond_the_bound_once_faults_are_over() {
     let mut causes: BTreeMap<&str, usize> = BTreeMap::new();
-    let mut waits: Vec<Span> = Vec::new();
+    let mut waits: BTreeMap<&str, Vec<Span>> = BTreeMap::new();
     let mut red = Vec::new();
     for outcome in OUTCOMES.iter() {
-        waits.extend(&outcome.waits);
+        for (kind, wait) in &outcome.waits {
+            waits.entry(kind).or_default().push(*wait);
+        }
         for (cause, text) in &outcome.findings {
             *causes.entry(cause).or_default() += 1;
             println!("seed {}: {text}", outcome.seed);
@@ -134,7 +138,9 @@
             red.push(outcome.seed);
         }
     }
-    println!("{}", spread(&mut waits));
+    for (kind, waits) in &mut waits {
+        println!("{kind}: {}", spread(waits));
+    }
     println!("causes: {causes:?}");
     assert!(red.is_empty(), "waits beyond {WAIT_BOUND_MS} ms with seeds {red:?}: {causes:?}");
 }
--- a/crates/pond-job/tests/world/watch.rs
+++ b/crates/pond-job/tests/world/watch.rs
@@ -7,7 +7,6 @@
 use pond_proto::{Millis, Size, Span};
 
 use super::World;
-use super::machine::Machine;
 use super::worker::Worker;
 
 /// A lasting task counts as waiting only this long after its last run, in milliseconds.
@@ -196,9 +195,9 @@
         if let Some(job) = self.state.job(id) {
             let steps: Vec<String> = job.spec.steps.iter().map(Step::to_string).collect();
             text += &format!("\n  {} placed {} of {steps:?}", job.queue, job.placed);
-            for life in job.times.iter().flatten().flatten().filter_map(|task| task.worker.clone())
-            {
-                text += &format!("\n  a run is placed on {}", self.describe(&life, id));
+            let placed = job.times.iter().flatten().flatten();
+            for life in placed.filter_map(|task| task.worker.as_ref()) {
+                text += &format!("\n  a run is placed on {life}");
             }
         }
         for (at, decision) in about.iter().skip(about.len().saturating_sub(SHOWN)) {
@@ -207,22 +206,17 @@
         Finding { cause, text }
     }
 
-    /// What is with a life of a worker that should run something of a job.
-    fn describe(&self, life: &str, id: u64) -> String {
-        let there = |machine: &&Machine| life.starts_with(&machine.name);
-        let Some(machine) = self.machines.iter().find(there) else { return life.to_owned() };
-        let now = machine.worker.as_ref().map(|worker| worker.life.as_str());
-        let ends = machine.worker.iter().flat_map(|worker| &worker.ends);
-        let ends = ends.filter(|end| end.run.task.job == id).count();
-        let lost = self.diary.iter().rev().find(|(_, decision)| {
-            matches!(decision, Decision::WorkerLost { worker, .. } if worker == life)
-        });
-        let lost = lost.map(|(at, _)| at.0);
-        format!(
-            "{life}; there is {now:?}, link {:?}, agent knows {:?}, ends {ends}, lost {lost:?}",
-            machine.link,
-            machine.agent.life()
-        )
+    /// The kind of what waits, as bounds may differ by it.
+    pub fn kind(&self, waiter: Waiter) -> &'static str {
+        let Waiter::Job(id) = waiter else { return "lasting task" };
+        let Some(work) = self.book.jobs.get(&id) else { return "unknown" };
+        if work.spec.steps.iter().any(|step| step.gang) {
+            "gang"
+        } else if work.advised {
+            "advised"
+        } else {
+            "other"
+        }
     }
 
     /// What is in the way of a job, in a few words that tell causes apart.
@@ -246,6 +240,9 @@
         if job.spec.steps.iter().any(|step| step.gang) {
             cause += " gang";
         }
+        if job.advice.is_some() {
+            cause += " advised";
+        }
         if since_ms + self.now.since(at) < self.watch.bound_ms {
             cause += " counted anew";
         }
