Agent: some lists without an answer do not stop a worker's clock

Cause: taking the clock from read lists alone gives up all runs of a worker after one lease without a list, while its registrations show that it is there; workers that leave every second call unanswered miss some lists in a row. Ruled out: counting registrations without a bound, as before (a worker of which nothing can be read kept its runs for ever).

--- a/crates/pond-agent/src/core/answers.rs
+++ b/crates/pond-agent/src/core/answers.rs
@@ -25,6 +25,12 @@
 /// milliseconds: a stop takes a fifth of a second, so this is ample.
 const GOES_ON_MS: Span = 500;
 
+/// For so long after its last list a worker's other answers and its registrations take its clock
+/// further, in milliseconds: about the longest lease. Some lists in a row without an answer are no
+/// reason to give up what runs; after this, control counts a lease from the last clock that it knows and
+/// places the runs elsewhere.
+const UNREAD_MS: Span = 6_000;
+
 /// Time before the next list while ends wait to be settled, in milliseconds: they would make the
 /// worker answer at once. It is about the time of a commit.
 const UNSETTLED_WAIT_MS: Span = 60;
@@ -51,6 +57,7 @@
             self.new_life(now, "");
             return;
         }
+        self.note_clock(now, answer.clock_ms.unwrap_or(0));
         match call {
             Call::Start { run, .. } => self.start_answer(now, *run, &answer.reply),
             Call::Stop { run } => self.stop_answer(now, *run, &answer.reply),
@@ -99,8 +106,14 @@
         }
     }
 
-    /// The worker answered a list. Only a list that was read takes the worker's clock further: control
-    /// counts leases by it, and gives up runs of which nothing can be read any more.
+    /// The worker told its clock. Control counts leases by it, so it goes on only while lists are read:
+    /// runs of which nothing can be read any more are given up.
+    pub(super) fn note_clock(&mut self, now: Millis, clock_ms: u64) {
+        if now.since(self.listed) < UNREAD_MS {
+            self.clock_ms = self.clock_ms.max(clock_ms);
+        }
+    }
+
     pub(super) fn look_answer(&mut self, now: Millis, look: u64, answer: Answer) {
         if self.looking == Some(look) {
             self.looking = None;
--- a/crates/pond-agent/src/core/mod.rs
+++ b/crates/pond-agent/src/core/mod.rs
@@ -80,7 +80,7 @@
     over: VecDeque<String>,
     /// Lives that have registered and not answered yet.
     claims: Vec<Claim>,
-    /// The worker's clock in its newest list, in milliseconds; before that, in its registration.
+    /// The worker's clock, in milliseconds.
     clock_ms: u64,
     /// The highest term of a leader.
     term: u64,
@@ -142,6 +142,7 @@
         if registration.draining {
             self.start_nothing_more(now);
         }
+        self.note_clock(now, registration.clock_ms);
         self.worker = Some(registration);
     }
 
