A lost append is sent again though no other follows it

Cause: a leader looked for lost appends by the number of those without an answer, and every answer to a heartbeat lowers that number. When an append was lost, two heartbeats later nothing counted as unanswered, and the entry was sent again only once another entry followed it and did not fit. Until then it was not accepted, and its proposer waited.

Ruled out: the follower (it held the entry or lacked it; both stall), the loss of the lead (the leader went on leading).

Change: entries that were sent behind the place of agreement and not acknowledged count as unanswered.

Test, before: 10 accepted of 11 after 2,000 ms with one append lost and one follower away.

--- a/crates/pond-quorum/src/leader.rs
+++ b/crates/pond-quorum/src/leader.rs
@@ -146,8 +146,10 @@
         let State::Leader(leading) = &mut self.state else { return };
         let round = leading.round;
         let Some(progress) = leading.progress.get_mut(&to) else { return };
-        // Lost answers must not keep the window closed for ever.
-        if progress.in_flight > 0 && now.since(progress.sent) > election_ms {
+        // Lost answers must not keep the window closed for ever. Answers to heartbeats count as well,
+        // so what was lost is also known by entries that were sent and are not acknowledged.
+        let unanswered = progress.in_flight > 0 || progress.unacknowledged();
+        if unanswered && now.since(progress.sent) > election_ms {
             progress.in_flight = 0;
             progress.next = progress.matched + 1;
             progress.probing = true;
--- a/crates/pond-quorum/src/progress.rs
+++ b/crates/pond-quorum/src/progress.rs
@@ -38,6 +38,11 @@
         }
     }
 
+    /// Whether entries were sent behind the place where the logs agree, and not acknowledged.
+    pub fn unacknowledged(&self) -> bool {
+        !self.probing && self.next > self.matched + 1
+    }
+
     /// Takes in that the logs are equal up to `index`.
     pub fn matched_to(&mut self, index: u64) {
         self.matched = self.matched.max(index);
--- a/crates/pond-quorum/tests/schedule.rs
+++ b/crates/pond-quorum/tests/schedule.rs
@@ -72,6 +72,17 @@
     }
 }
 
+#[test]
+fn an_append_that_was_lost_is_sent_again_though_nothing_follows_it() {
+    let (mut cluster, leader) = settled();
+    let others: Vec<u64> = (1..=3).filter(|id| *id != leader).collect();
+    cluster.isolate(others[0], 1_000_000);
+    cluster.cut(leader, others[1], 5);
+    cluster.propose(leader);
+    cluster.run(2000);
+    assert_eq!((cluster.accepted(), cluster.leader()), (11, Some(leader)));
+}
+
 #[test]
 fn disks_that_lie_about_syncing_are_noticed() {
     let faults = Faults { crash: 400, lying_disks: true, ..Faults::all() };
