What a replica reads at its start outlasts a loss of power, and so do its term and its segments

Three faults of the store, each found by a test that fails without its repair:

A process that was killed between writing and syncing leaves bytes that its next start reads from the system's cache. The replica acknowledged them without a sync; a loss of power then dropped them. With the leader's disk lost in the same moment an accepted entry was gone (schedule.rs: "replica 2 applied another entry 12"; recovery.rs: 6 entries of 7, term 1 of 2). Now the last segment and the folder are synced at the start, before anything is answered. 2. At a loss of power each removal lasts or not by itself, so segments came back with a gap, and the replica refused to start ("batch 57 is missing before it"). Now each removal lasts before the next. 3. A new segment begins with the hard state. Now the hard state is written at the start.

--- a/crates/pond-quorum/tests/schedule.rs
+++ b/crates/pond-quorum/tests/schedule.rs
@@ -13,7 +13,12 @@
 
 /// A cluster of three that has a leader and some accepted values.
 fn settled() -> (Cluster, u64) {
-    let mut cluster = Cluster::new(3, 1, Faults::none());
+    settled_under(1)
+}
+
+/// The same under another seed.
+fn settled_under(seed: u64) -> (Cluster, u64) {
+    let mut cluster = Cluster::new(3, seed, Faults::none());
     cluster.run(1500);
     let leader = cluster.leader().expect("a leader");
     (0..10).for_each(|_| cluster.propose(leader));
@@ -51,6 +56,26 @@
         check(Cluster::new(3, seed, faults), 3000);
     }
 
+    #[test]
+    fn a_lost_disk_while_all_others_lose_power_loses_nothing(seed in any::<u64>(), lost in 1..=3u64) {
+        let mut cluster = Cluster::new(3, seed, Faults::all());
+        cluster.run_under_load(1000);
+        let accepted = cluster.run_until_accepted(60_000, 1..15);
+        prop_assert!(accepted, "nothing is accepted: {:?}", cluster.wrong);
+        cluster.lose_power(lost, 9);
+        cluster.run_under_load(2000);
+        if let Some(leader) = cluster.leader() {
+            cluster.input(leader, Input::Remove(lost));
+            cluster.run_under_load(500);
+            let member =
+                Member { id: 9, name: "control-9".into(), address: String::new(), voter: false };
+            cluster.input(leader, Input::Add(member));
+        }
+        cluster.run_under_load(500);
+        cluster.settle();
+        prop_assert_eq!(cluster.wrong.clone(), None);
+    }
+
     #[test]
     fn a_lost_disk_votes_for_nobody_and_loses_nothing(seed in any::<u64>()) {
         let mut cluster = Cluster::new(3, seed, Faults { loss: 20, ..Faults::none() });
@@ -83,6 +108,22 @@
     assert_eq!((cluster.accepted(), cluster.leader()), (11, Some(leader)));
 }
 
+#[test]
+fn what_a_killed_replica_read_again_is_kept_when_power_is_lost() {
+    for seed in 1..=20 {
+        let (mut cluster, leader) = settled_under(seed);
+        let others: Vec<u64> = (1..=3).filter(|id| *id != leader).collect();
+        // Acceptance hangs on one follower, which is killed between writing and syncing.
+        cluster.isolate(others[0], 1_000_000);
+        cluster.kill_writing(others[1]);
+        let accepted = cluster.run_until_accepted(2000, 5000..5001);
+        assert!(accepted, "seed {seed}: {:?}", cluster.wrong);
+        cluster.lose_power(leader, 9);
+        cluster.settle();
+        assert_eq!(cluster.wrong, None);
+    }
+}
+
 #[test]
 fn disks_that_lie_about_syncing_are_noticed() {
     let faults = Faults { crash: 400, lying_disks: true, ..Faults::all() };
--- a/crates/pond-store/src/memory.rs
+++ b/crates/pond-store/src/memory.rs
@@ -4,6 +4,9 @@
 use std::io;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
 use crate::Disk;
 
 /// One file: its bytes, and how many of them last.
@@ -22,6 +25,19 @@
     sync_lies: bool,
 }
 
+impl Inner {
+    /// Keeps or loses each change of a name that was not synced.
+    fn scatter_names(&mut self, rng: &mut StdRng) {
+        let Inner { files, lasting, .. } = self;
+        files.retain(|name, _| lasting.contains_key(name) || rng.random());
+        for (name, stored) in lasting.iter() {
+            if !files.contains_key(name) && rng.random() {
+                files.insert(name.clone(), stored.clone());
+            }
+        }
+    }
+}
+
 /// A disk in memory for tests and models of failure.
 ///
 /// Clones share the files, so that a test can crash the disk under a store and open it again.
@@ -39,6 +55,9 @@
     KeepAll,
     /// This many bytes of each file's part that was not synced.
     KeepBytes(usize),
+    /// Of each file's part some bytes, and each name that was made, renamed or removed since names
+    /// were synced is there or not, independently of the rest: drawn by this seed.
+    Scatter(u64),
 }
 
 impl Memory {
@@ -70,12 +89,19 @@
         if crash == Crash::KeepAll {
             return;
         }
-        if crash == Crash::DropUnsynced {
-            inner.files = inner.lasting.clone();
+        let mut rng = StdRng::seed_from_u64(match crash {
+            Crash::Scatter(seed) => seed,
+            _ => 0,
+        });
+        match crash {
+            Crash::DropUnsynced => inner.files = inner.lasting.clone(),
+            Crash::Scatter(_) => inner.scatter_names(&mut rng),
+            _ => {}
         }
         for file in inner.files.values_mut() {
             let keep = match crash {
                 Crash::KeepBytes(more) => file.synced + more,
+                Crash::Scatter(_) => rng.random_range(file.synced..=file.bytes.len()),
                 _ => file.synced,
             };
             file.bytes.truncate(keep);
--- a/crates/pond-store/src/store.rs
+++ b/crates/pond-store/src/store.rs
@@ -68,6 +68,7 @@
         };
         let floor = snapshot.as_ref().map_or(0, |snapshot| snapshot.head.index);
         let (entries, cut) = store.replay(&names, floor)?;
+        store.keep_what_was_read()?;
         let hard = store.hard;
         Ok((store, Recovered { id, hard, snapshot, entries, cut }))
     }
@@ -113,6 +114,21 @@
         Ok((entries.into_values().collect(), cut))
     }
 
+    /// A process that was killed may have left entries and names that were not synced. The replica
+    /// answers for what it reads now, so it must outlast a loss of power: one sync of the last
+    /// segment, as older ones were synced when it was made, and one of the folder.
+    fn keep_what_was_read(&mut self) -> Result<(), Error> {
+        let Some(last) = self.segments.last() else { return Ok(()) };
+        if last.bytes == 0 && self.segments.len() > 1 {
+            // It was made, and power was lost before the hard state was in it.
+            let hard = Some(self.hard);
+            self.write(&Batch { hard, ..Batch::default() })?;
+        }
+        self.unsynced = true;
+        self.sync()?;
+        self.disk.sync_names().map_err(|source| Error::io("folder", "sync", source))
+    }
+
     fn cut_torn_end(&mut self, name: &str, content: &segment::Content) -> Result<usize, Error> {
         let cut = content.length - content.whole;
         if cut > 0 {
@@ -242,6 +258,9 @@
         while self.segments.len() > 1 && self.segments[0].last_index <= index {
             let old = self.segments.remove(0);
             self.disk.remove(&segment::name(old.first_batch)).map_err(io)?;
+            // At a loss of power one that was removed may come back without the one after it, and
+            // a gap is refused: so each removal lasts before the next.
+            self.disk.sync_names().map_err(io)?;
         }
         self.disk.sync_names().map_err(io)
     }
--- a/crates/pond-store/tests/recovery.rs
+++ b/crates/pond-store/tests/recovery.rs
@@ -1,9 +1,13 @@
 //! Recovery of durable files from every point at which a crash may come.
 
+use std::io;
+
 use pond_proto::quorum::{Entry, Hard, Kind, Members, SnapshotHead};
 use pond_store::{Crash, Disk, Error, Memory, Recovered, Snapshot, Store};
 use pond_test::cases;
 use proptest::prelude::*;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 
 fn entry(index: u64, term: u64) -> Entry {
     let data = format!("entry {index} of term {term}").into_bytes();
@@ -226,3 +230,135 @@
     let other = pond_store::Error::lock("f", std::io::Error::from_raw_os_error(9));
     assert!(other.to_string().contains("f: cannot lock: Bad file descriptor"));
 }
+
+#[test]
+fn what_was_read_after_a_kill_outlasts_a_loss_of_power() {
+    // A replica that is killed before its sync reads on its next start what is not on the disk yet,
+    // and acknowledges it like anything else in its log.
+    let disk = written(2);
+    let (mut store, _) = open(&disk);
+    store.append(hard(2), &[entry(7, 2)]).expect("writes");
+    disk.crash(Crash::KeepAll);
+    let (_, read) = open(&disk);
+    assert_eq!(read.entries.len(), 7);
+    disk.crash(Crash::DropUnsynced);
+    let (_, recovered) = open(&disk);
+    assert_eq!((recovered.entries, recovered.hard), (read.entries, read.hard));
+}
+
+/// A disk whose power is lost after so many changes.
+#[derive(Debug)]
+struct Fading {
+    disk: Memory,
+    left: usize,
+}
+
+impl Fading {
+    fn change<T>(&mut self, act: impl FnOnce(&mut Memory) -> io::Result<T>) -> io::Result<T> {
+        self.left = self.left.checked_sub(1).ok_or(io::ErrorKind::NotConnected)?;
+        act(&mut self.disk)
+    }
+}
+
+impl Disk for Fading {
+    fn list(&self) -> io::Result<Vec<String>> {
+        self.disk.list()
+    }
+
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        self.disk.read(name)
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.change(|disk| disk.append(name, bytes))
+    }
+
+    fn truncate(&mut self, name: &str, length: u64) -> io::Result<()> {
+        self.change(|disk| disk.truncate(name, length))
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        self.change(|disk| disk.sync(name))
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        self.change(|disk| disk.rename(from, to))
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.change(|disk| disk.remove(name))
+    }
+
+    fn sync_names(&mut self) -> io::Result<()> {
+        self.change(Memory::sync_names)
+    }
+}
+
+/// What was synced, as far as a replica may have answered for it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd)]
+struct Kept {
+    term: u64,
+    snapshot: u64,
+    last: u64,
+}
+
+impl Kept {
+    fn read(recovered: &Recovered) -> Kept {
+        let snapshot = recovered.snapshot.as_ref().map_or(0, |snapshot| snapshot.head.index);
+        let last = recovered.entries.last().map_or(snapshot, |entry| entry.index);
+        Kept { term: recovered.hard.term, snapshot, last }
+    }
+
+    /// Writes until the power is lost; each step counts once it has come back without an error.
+    fn write(&mut self, store: &mut Store, rng: &mut StdRng) -> Result<(), Error> {
+        loop {
+            match rng.random_range(0..10) {
+                0 => {
+                    let index = rng.random_range(self.snapshot..=self.last);
+                    store.save(&snapshot(index))?;
+                    self.snapshot = index;
+                }
+                1 => {
+                    let index = self.last + rng.random_range(1..5);
+                    store.replace(&snapshot(index))?;
+                    (self.snapshot, self.last) = (index, index);
+                }
+                _ => {
+                    let term = self.term + rng.random_range(0..2);
+                    let last = self.last + rng.random_range(0..4);
+                    let entries: Vec<Entry> =
+                        (self.last + 1..=last).map(|index| entry(index, 1)).collect();
+                    store.append(hard(term), &entries)?;
+                    store.sync()?;
+                    (self.term, self.last) = (term, last);
+                }
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(cases(2000))]
+
+    /// Power is lost again and again, at any change of the disk, also while a replica starts.
+    #[test]
+    fn nothing_synced_is_lost_whenever_power_is(seed in any::<u64>()) {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let (disk, mut kept) = (Memory::new(), Kept::default());
+        for _ in 0..6 {
+            let fading = Fading { disk: disk.clone(), left: rng.random_range(0..120) };
+            if let Ok((store, recovered)) = Store::open(Box::new(fading)) {
+                kept = Kept::read(&recovered);
+                let mut store = store.with_segment_bytes(200);
+                prop_assert!(kept.write(&mut store, &mut rng).is_err());
+            }
+            disk.crash(Crash::Scatter(rng.random()));
+            let opened = Store::open(Box::new(disk.copy()));
+            prop_assert!(opened.is_ok(), "it does not open: {:?}", opened.err());
+            let found = opened.map(|(_, recovered)| Kept::read(&recovered)).unwrap_or_default();
+            prop_assert!(found.term >= kept.term, "{found:?} of {kept:?}");
+            prop_assert!(found.snapshot >= kept.snapshot, "{found:?} of {kept:?}");
+            prop_assert!(found.last >= kept.last, "{found:?} of {kept:?}");
+        }
+    }
+}
--- a/crates/pond-test/src/cluster.rs
+++ b/crates/pond-test/src/cluster.rs
@@ -5,6 +5,7 @@
 //! checked against what was seen before.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Range;
 use std::sync::Arc;
 
 use pond_proto::Millis;
@@ -14,6 +15,12 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+/// Bytes of what was not synced that a loss of power may leave in a file: up to a few entries.
+const TORN_BYTES: usize = 200;
+
+/// Longest time until a replica has power again, in milliseconds.
+const BACK_MS: u64 = 1_000;
+
 /// How often failures happen, each in thousandths of a millisecond step.
 #[derive(Clone, Copy, Debug)]
 pub struct Faults {
@@ -71,6 +78,8 @@
     running: Option<Running>,
     /// When a crashed one starts again.
     back: u64,
+    /// Its process is killed when it has written entries the next time, before they are synced.
+    dies_writing: bool,
     /// Its clock runs this many thousandths of the true one.
     rate: u64,
 }
@@ -153,7 +162,7 @@
         }
         let drift = self.faults.drift;
         let rate = self.rng.random_range(1000 - drift..=1000 + drift);
-        self.nodes.insert(id, Node { disk, running: None, back: 0, rate });
+        self.nodes.insert(id, Node { disk, running: None, back: 0, dies_writing: false, rate });
         self.start(id);
     }
 
@@ -210,6 +219,47 @@
         node.back = time + wait;
     }
 
+    /// Loses a replica's disk, which comes back under the identity `new` with an empty one, and cuts
+    /// the power of all others at the same moment: nothing lasts but what was synced, and perhaps
+    /// the beginning of what was not. All come back within a second, in any order.
+    pub fn lose_power(&mut self, lost: u64, new: u64) {
+        self.lose_disk(lost, new);
+        self.flying.clear();
+        let ids: Vec<u64> = self.nodes.keys().copied().collect();
+        for id in ids {
+            let torn = Crash::KeepBytes(self.rng.random_range(0..TORN_BYTES));
+            let crash = if self.rng.random() { Crash::DropUnsynced } else { torn };
+            let back = self.time + self.rng.random_range(0..BACK_MS);
+            let Some(node) = self.nodes.get_mut(&id) else { continue };
+            node.running = None;
+            node.disk.crash(crash);
+            node.back = back;
+        }
+    }
+
+    /// Goes on until the next value is accepted, for so long at most, with `pause` milliseconds
+    /// between proposals; whether one was accepted.
+    pub fn run_until_accepted(&mut self, ms: u64, pause: Range<u64>) -> bool {
+        let (accepted, until) = (self.accepted.len(), self.time + ms);
+        let mut next = self.time;
+        while self.accepted.len() == accepted && self.time < until && self.wrong.is_none() {
+            if let Some(leader) = self.leader().filter(|_| self.time >= next) {
+                self.propose(leader);
+                next = self.time + self.rng.random_range(pause.clone());
+            }
+            self.run(1);
+        }
+        self.accepted.len() > accepted
+    }
+
+    /// Kills a replica's process when it has written entries the next time and not synced them; it
+    /// starts again at once.
+    pub fn kill_writing(&mut self, id: u64) {
+        if let Some(node) = self.nodes.get_mut(&id) {
+            node.dies_writing = true;
+        }
+    }
+
     /// Loses a replica's disk; it comes back under the identity `new` with an empty one.
     pub fn lose_disk(&mut self, id: u64, new: u64) {
         self.nodes.remove(&id);
@@ -404,6 +454,9 @@
             let wait = self.rng.random_range(10..500);
             return self.crash(id, wait);
         }
+        if self.killed_writing(id, &outputs) {
+            return;
+        }
         if self.with_store(id, Store::sync).is_err() {
             return self.fail(format!("replica {id} cannot sync"));
         }
@@ -416,6 +469,19 @@
         }
     }
 
+    /// Whether a kill was due now; its disk keeps what was written and may lose it later.
+    fn killed_writing(&mut self, id: u64, outputs: &[Output]) -> bool {
+        let entries = |output: &Output| matches!(output, Output::Persist { entries, .. } if !entries.is_empty());
+        let Some(node) = self.nodes.get_mut(&id) else { return false };
+        if !node.dies_writing || !outputs.iter().any(entries) {
+            return false;
+        }
+        node.dies_writing = false;
+        node.running = None;
+        node.back = self.time;
+        true
+    }
+
     fn with_store<T>(
         &mut self,
         id: u64,
