The adviser is asked about workers that a trial may use, longest standing still first

Cause: the adviser was asked only about workers that a task fits now, so a job that only its guess of used processors kept waiting had no ticket where its trial could go; and always the most urgent step first, whose answers run out again and again.

--- a/crates/pond-job/src/lead/ask.rs
+++ b/crates/pond-job/src/lead/ask.rs
@@ -1,16 +1,22 @@
 //! When the adviser is asked, and about what.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
-use pond_proto::Millis;
+use pond_proto::{Millis, Span};
 
 use super::advice::{Permit, Question, StepName};
 use super::candidate::Candidate;
+use super::overdue::PATIENCE_MS;
 use super::ready::Ready;
 use super::{Leader, Output};
 use crate::configuration::Advice;
 use crate::state::State;
 
+/// From this wait of a job on the adviser is asked for its trial, in milliseconds: the rest of the
+/// patience is for the answer.
+const ASK_AFTER_MS: Span = PATIENCE_MS / 2;
+
 impl Leader {
     /// The adviser answered a question, or did not.
     pub fn advised(&mut self, now: Millis, question: &Question, permits: Option<Vec<Permit>>) {
@@ -26,24 +32,41 @@
         }
     }
 
-    /// Asks about the most urgent step that waits for a worker and of which the adviser can say
-    /// something new; questions about the others come when it has answered.
+    /// Asks about the first step that waits for a worker and of which the adviser can say something
+    /// new; questions about the others come when it has answered. Steps whose trial comes near go first,
+    /// those of jobs that have stood still for longest before others, then the most urgent: answers
+    /// run out, so the most urgent steps alone could keep the adviser busy for ever.
     pub(super) fn ask_about_ready(
         &mut self,
         now: Millis,
         ready: &[Ready<'_>],
         candidates: &[Candidate],
     ) {
-        for group in ready {
+        let advised = ready.iter().filter(|group| group.job.advice.is_some());
+        let mut groups: Vec<_> =
+            advised.map(|group| (group, self.trial_near_ms(now, group.id))).collect();
+        groups.sort_by_key(|(_, near_ms)| Reverse(*near_ms));
+        for (group, near_ms) in groups {
             let Some(advice) = group.job.advice else { continue };
             let task = group.task(0);
-            let fits = |candidate: &&Candidate| candidate.fits(&group.job.pool, task, group.step);
-            let workers = candidates.iter().filter(fits).map(|candidate| candidate.life.clone());
+            let pool = &group.job.pool;
+            // A trial does not heed who is busy, so it needs tickets for those, too.
+            let asked = |candidate: &&Candidate| match near_ms {
+                None => candidate.fits(pool, task, group.step),
+                Some(_) => candidate.admits(pool, task, group.step, &[]),
+            };
+            let workers = candidates.iter().filter(asked).map(|candidate| candidate.life.clone());
             let question = self.adviser.question(now, task.into(), workers, advice);
             self.outputs.extend(question.map(Output::Advise));
         }
     }
 
+    /// How long a job has stood still, in milliseconds, if its trial comes near; else none.
+    fn trial_near_ms(&self, now: Millis, id: u64) -> Option<Span> {
+        let wait = self.waits.get(&id).filter(|wait| wait.still.is_some())?;
+        (now.since(wait.since) >= ASK_AFTER_MS).then(|| wait.still_ms(now))
+    }
+
     /// Steps of runs that are placed and cannot be ordered, with the workers that have them: a former
     /// leader had asked about them, or the ticket has run out.
     fn placed_without_ticket(
