Where all workers rest, work that has not failed before is tried

Cause: that a worker is sick is concluded from two jobs that fail there. In small pools jobs that can never be done let all workers rest, and sound jobs waited up to 6.4 s with all room free. Ruled out: trials on resting workers at once for all (a task that failed before would lose its attempts on workers that are really sick). Change: where all that may run a task rest, one that has not failed before is tried after the usual patience; of lasting steps all tasks that wait, whether or not others of the job run.

--- a/crates/pond-job/src/lead/overdue.rs
+++ b/crates/pond-job/src/lead/overdue.rs
@@ -44,8 +44,8 @@
 
 /// A job waits this long while room is scarce, in milliseconds: then waiting is the rule and a trial
 /// takes from others. Jobs take turns; with more of them than places each waits in proportion. One that
-/// stands still for as long gets room that is kept for others, and is tried on workers that rest if
-/// all do: twice the longest rest, as a failure costs it one of its attempts.
+/// stands still for as long gets room that is kept for others, and its tasks that failed before are tried
+/// on workers that rest if all do: twice the longest rest, as a failure costs one of the attempts.
 const LONG_PATIENCE_MS: Span = 20_000;
 
 /// What a trial may ask of the workers.
@@ -53,7 +53,7 @@
 struct Boldness {
     /// Tried tasks on a worker at most.
     most_tried: usize,
-    /// Room that is kept for others is taken, and workers need not be sound where none is.
+    /// Room that is kept for others is taken, and attempts are not spared.
     desperate: bool,
 }
 
@@ -74,10 +74,12 @@
         for (group, wait) in self.longest_still(now, blocked) {
             let begun = starts.iter().any(|start| start.run.task.job == group.id);
             let waited_ms = now.since(wait.since);
-            if wait.still.is_none() || waited_ms < patience_ms || begun {
+            // Of what lasts, each task that finds no place stands still.
+            let still_ms = if group.step.lasting { waited_ms } else { wait.still_ms(now) };
+            let stands_still = wait.still.is_some() || group.step.lasting;
+            if !stands_still || waited_ms < patience_ms || begun {
                 continue;
             }
-            let still_ms = wait.still_ms(now);
             let due_ms = still_ms.min(waited_ms - patience_ms);
             let boldness = Boldness {
                 most_tried: if plenty && due_ms >= TURN_MS { usize::MAX } else { MOST_TRIED },
@@ -106,8 +108,8 @@
         groups
     }
 
-    /// Starts for one waiting task of a group, or for all tasks of a gang, as they have to start
-    /// together; none if there is no place.
+    /// Starts for the tasks of a group that are tried, as far as there is room; a gang is tried whole or
+    /// not at all, as its tasks have to start together.
     fn trial(
         &self,
         now: Millis,
@@ -115,26 +117,19 @@
         boldness: Boldness,
         candidates: &mut [Candidate],
     ) -> Vec<Start> {
-        let tasks = group.tasks();
-        if group.step.gang && !tasks.iter().all(Task::waits) {
-            return Vec::new();
-        }
-        let waiting = tasks.iter().enumerate().filter(|(_, task)| task.waits());
-        let count = if group.step.gang { tasks.len() } else { 1 };
-        let number = |task: &Task| {
-            let newest =
-                if group.step.gang { tasks.iter().map(|task| task.run).max() } else { None };
-            newest.unwrap_or(task.run) + 1
-        };
         let mut after = candidates.to_vec();
         let mut starts = Vec::new();
-        for (index, task) in waiting.take(count) {
+        for (index, number) in tried_tasks(group) {
             let name = group.task(index);
-            let found = self.least_disturbed(now, group, name, boldness, &after);
-            let Some(found) = found else { return Vec::new() };
+            let Some(found) = self.least_disturbed(now, group, name, boldness, &after) else {
+                if group.step.gang {
+                    return Vec::new();
+                }
+                break;
+            };
             after[found].take(name, group.step, group.served.clone());
             after[found].tried += 1;
-            starts.push(after[found].start(RunName { task: name, number: number(task) }));
+            starts.push(after[found].start(RunName { task: name, number }));
         }
         candidates.clone_from_slice(&after);
         starts
@@ -171,22 +166,42 @@
     }
 }
 
+/// The tasks of a group that are tried together, with the numbers of their runs: all of a gang once none
+/// has a place, each that lasts, as each has a duty of its own; else one shows what the others do, and
+/// one that has not failed before, as a failure would say little of it.
+fn tried_tasks(group: &Ready<'_>) -> Vec<(usize, u32)> {
+    let tasks = group.tasks();
+    let waiting = || tasks.iter().enumerate().filter(|(_, task)| task.waits());
+    let next = |(index, task): (usize, &Task)| (index, task.run + 1);
+    if group.step.gang {
+        let whole = tasks.iter().all(Task::waits);
+        let number = tasks.iter().map(|task| task.run).max().unwrap_or(0) + 1;
+        return (0..tasks.len()).filter(|_| whole).map(|index| (index, number)).collect();
+    }
+    if group.step.lasting {
+        return waiting().map(next).collect();
+    }
+    waiting().min_by_key(|(_, task)| task.failed).map(next).into_iter().collect()
+}
+
 /// The beliefs that a trial does not heed, besides harm and what serving tasks use. That a worker is
-/// sick is a comparison with others: where all that may run the task rest, it says little.
+/// sick is a comparison with others: where all that may run the task rest, jobs that can never be done
+/// are as likely. A task that has never failed is tried there, as that costs it one attempt at most.
+/// (In small pools with such jobs, sound ones stood still for up to 6.4 s instead of 3 s.)
 fn overlooked(
     group: &Ready<'_>,
     task: TaskName,
     boldness: Boldness,
     candidates: &[Candidate],
 ) -> Vec<Obstacle> {
-    if !boldness.desperate {
-        return Vec::new();
-    }
     let mut able =
         candidates.iter().filter(|there| there.allows(&group.job.pool, task, group.step));
     let all_rest = able.all(|there| !there.sound_for(group.step));
-    let rest = all_rest.then_some(Obstacle::Resting);
-    rest.into_iter().chain([Obstacle::Kept]).collect()
+    let failed = group.tasks().get(task.index as usize).is_some_and(|task| task.failed > 0);
+    let spared = failed || group.job.attempts < 2;
+    let rest = (all_rest && (boldness.desperate || !spared)).then_some(Obstacle::Resting);
+    let kept = boldness.desperate.then_some(Obstacle::Kept);
+    rest.into_iter().chain(kept).collect()
 }
 
 /// Whether a run is the newest of its task and has a worker.
