Kept room does not keep away the tasks that it is kept for

Ruled out: the cap on trials, the worker's rest (both overlooked by then). Change: a candidate remembers for which step room is kept; it counts against other steps only.

--- a/crates/pond-job/src/lead/candidate.rs
+++ b/crates/pond-job/src/lead/candidate.rs
@@ -45,7 +45,7 @@
     /// Its room that nothing takes.
     pub free: Size,
     /// Room that is kept for tasks that fit nowhere yet and come before those that are placed now.
-    pub kept: Size,
+    kept: Vec<(StepName, Size)>,
     /// Room of runs that will end by themselves.
     pub passing: Size,
     /// Processors that nothing uses, filling tasks counted, in thousandths.
@@ -74,7 +74,7 @@
             labels: worker.labels.clone(),
             processors: worker.room.milli_cpu,
             free: worker.room,
-            kept: Size::default(),
+            kept: Vec::new(),
             passing: Size::default(),
             idle: i64::from(worker.room.milli_cpu),
             served: Vec::new(),
@@ -127,7 +127,7 @@
             Some(Obstacle::Resting)
         } else if !step.size().fits(self.free) {
             Some(Obstacle::NoRoom)
-        } else if !step.size().fits(minus(self.free, self.kept)) {
+        } else if !step.size().fits(self.free_beside_kept(task)) {
             Some(Obstacle::Kept)
         } else if step.fills && self.idle < i64::from(step.milli_cpu) {
             Some(Obstacle::Busy)
@@ -140,9 +140,9 @@
     /// what serving tasks use, and those that `overlooked` names.
     pub fn admits(&self, pool: &str, task: TaskName, step: &Step, overlooked: &[Obstacle]) -> bool {
         let overlooks = |obstacle| overlooked.contains(&obstacle);
-        let kept = if overlooks(Obstacle::Kept) { Size::default() } else { self.kept };
+        let free = if overlooks(Obstacle::Kept) { self.free } else { self.free_beside_kept(task) };
         let sound = overlooks(Obstacle::Resting) || self.sound_for(step);
-        self.allows(pool, task, step) && sound && step.size().fits(minus(self.free, kept))
+        self.allows(pool, task, step) && sound && step.size().fits(free)
     }
 
     /// Whether the worker neither rests nor is being probed. A lasting task tells nothing about a
@@ -153,22 +153,46 @@
 
     /// Whether a task could ever run there.
     pub fn allows(&self, pool: &str, task: TaskName, step: &Step) -> bool {
-        let held = self.steps.get(&task.into()).copied().unwrap_or(0);
+        self.allows_beside(pool, task, step, 0)
+    }
+
+    /// Whether a task could ever run there beside so many more of its step.
+    fn allows_beside(&self, pool: &str, task: TaskName, step: &Step, more: u32) -> bool {
+        let held = self.steps.get(&task.into()).copied().unwrap_or(0) + more;
         let apart = step.most_per_worker == 0 || held < step.most_per_worker;
         let labelled = step.required_label.is_empty() || self.labels.contains(&step.required_label);
         self.pool == pool && apart && labelled
     }
 
+    /// The room that is neither taken nor kept for other steps than that of a task.
+    fn free_beside_kept(&self, task: TaskName) -> Size {
+        let own = StepName::from(task);
+        let others = self.kept.iter().filter(|(step, _)| *step != own);
+        others.fold(self.free, |free, (_, size)| minus(free, *size))
+    }
+
+    /// The room that all kept room leaves, with that of runs that will end by themselves.
+    fn room_to_keep(&self) -> Size {
+        let room = self.free.plus(self.passing);
+        self.kept.iter().fold(room, |room, (_, size)| minus(room, *size))
+    }
+
+    /// Processors that are neither taken nor kept, in thousandths.
+    pub fn unkept_milli_cpu(&self) -> i64 {
+        let kept: i64 = self.kept.iter().map(|(_, size)| i64::from(size.milli_cpu)).sum();
+        i64::from(self.free.milli_cpu) - kept
+    }
+
     /// Whether a task will fit there once what runs there for a while has ended.
     pub fn could_keep(&self, pool: &str, task: TaskName, step: &Step) -> bool {
-        let room = minus(self.free.plus(self.passing), self.kept);
-        self.allows(pool, task, step) && step.size().fits(room)
+        let own = StepName::from(task);
+        let kept = self.kept.iter().filter(|(step, _)| *step == own).count() as u32;
+        self.allows_beside(pool, task, step, kept) && step.size().fits(self.room_to_keep())
     }
 
-    /// Keeps room for a task, so that later ones do not take it bit by bit.
+    /// Keeps room for a task, so that later ones of other steps do not take it bit by bit.
     pub fn keep(&mut self, task: TaskName, step: &Step) {
-        self.kept = self.kept.plus(step.size());
-        *self.steps.entry(task.into()).or_default() += 1;
+        self.kept.push((task.into(), step.size()));
     }
 
     /// How well a task stands here, as nearness to its data, then what its kind depends on; higher
--- a/crates/pond-job/src/lead/plan.rs
+++ b/crates/pond-job/src/lead/plan.rs
@@ -246,9 +246,7 @@
         let name = group.task(index);
         let could =
             |candidate: &&mut Candidate| candidate.could_keep(&group.job.pool, name, group.step);
-        let room = |candidate: &&mut Candidate| {
-            i64::from(candidate.free.milli_cpu) - i64::from(candidate.kept.milli_cpu)
-        };
+        let room = |candidate: &&mut Candidate| candidate.unkept_milli_cpu();
         let Some(best) = candidates.iter_mut().filter(could).max_by_key(room) else { return };
         best.keep(name, group.step);
     }
