Whether a trial is due stands apart from giving it; only gangs copy the candidates

Cause: the function had grown, and each due group copied all candidates (1,200 of them at the size designed for). Ruled out: nothing; behaviour is the same.

--- a/crates/pond-job/src/lead/overdue.rs
+++ b/crates/pond-job/src/lead/overdue.rs
@@ -57,6 +57,34 @@
     desperate: bool,
 }
 
+/// A trial that is due.
+#[derive(Clone, Copy)]
+struct Due {
+    /// How long nothing has run of what should, in milliseconds.
+    still_ms: Span,
+    boldness: Boldness,
+}
+
+impl Due {
+    /// The trial of a group that waits; none while something of its job runs, or before the patience is
+    /// over. Of what lasts, each task that finds no place stands still, whatever else runs.
+    fn of(now: Millis, group: &Ready<'_>, wait: Wait, plenty: bool) -> Option<Due> {
+        let lasting = group.step.lasting;
+        let waited_ms = now.since(wait.since);
+        let patience_ms = if plenty { PATIENCE_MS } else { LONG_PATIENCE_MS };
+        if waited_ms < patience_ms || (wait.still.is_none() && !lasting) {
+            return None;
+        }
+        let still_ms = if lasting { waited_ms } else { wait.still_ms(now) };
+        let due_ms = still_ms.min(waited_ms - patience_ms);
+        let boldness = Boldness {
+            most_tried: if plenty && due_ms >= TURN_MS { usize::MAX } else { MOST_TRIED },
+            desperate: still_ms >= LONG_PATIENCE_MS,
+        };
+        Some(Due { still_ms, boldness })
+    }
+}
+
 impl Leader {
     /// Starts one task of each job that has stood still for too long, where it is expected to disturb
     /// least. The agent there slows it down if it does harm after all.
@@ -70,23 +98,11 @@
     ) {
         self.tried.retain(|run| is_placed(state, *run));
         let plenty = plenty(candidates);
-        let patience_ms = if plenty { PATIENCE_MS } else { LONG_PATIENCE_MS };
         for (group, wait) in self.longest_still(now, blocked) {
             let begun = starts.iter().any(|start| start.run.task.job == group.id);
-            let waited_ms = now.since(wait.since);
-            // Of what lasts, each task that finds no place stands still.
-            let still_ms = if group.step.lasting { waited_ms } else { wait.still_ms(now) };
-            let stands_still = wait.still.is_some() || group.step.lasting;
-            if !stands_still || waited_ms < patience_ms || begun {
-                continue;
-            }
-            let due_ms = still_ms.min(waited_ms - patience_ms);
-            let boldness = Boldness {
-                most_tried: if plenty && due_ms >= TURN_MS { usize::MAX } else { MOST_TRIED },
-                desperate: still_ms >= LONG_PATIENCE_MS,
-            };
-            for start in self.trial(now, group, boldness, candidates) {
-                let (run, worker) = (start.run, start.worker.clone());
+            let Some(due) = Due::of(now, group, wait, plenty).filter(|_| !begun) else { continue };
+            for start in self.trial(now, group, due.boldness, candidates) {
+                let (run, worker, still_ms) = (start.run, start.worker.clone(), due.still_ms);
                 self.tried.insert(run);
                 self.outputs.push(Output::Decided(Decision::Tried { run, worker, still_ms }));
                 starts.push(start);
@@ -108,8 +124,8 @@
         groups
     }
 
-    /// Starts for the tasks of a group that are tried, as far as there is room; a gang is tried whole or
-    /// not at all, as its tasks have to start together.
+    /// Starts for the tasks of a group that are tried; a gang is tried whole or not at all, as its tasks
+    /// have to start together.
     fn trial(
         &self,
         now: Millis,
@@ -117,24 +133,40 @@
         boldness: Boldness,
         candidates: &mut [Candidate],
     ) -> Vec<Start> {
+        let tasks = tried_tasks(group);
+        if !group.step.gang {
+            return self.try_each(now, group, boldness, &tasks, candidates);
+        }
         let mut after = candidates.to_vec();
-        let mut starts = Vec::new();
-        for (index, number) in tried_tasks(group) {
-            let name = group.task(index);
-            let Some(found) = self.least_disturbed(now, group, name, boldness, &after) else {
-                if group.step.gang {
-                    return Vec::new();
-                }
-                break;
-            };
-            after[found].take(name, group.step, group.served.clone());
-            after[found].tried += 1;
-            starts.push(after[found].start(RunName { task: name, number }));
+        let starts = self.try_each(now, group, boldness, &tasks, &mut after);
+        if starts.len() < tasks.len() {
+            return Vec::new();
         }
         candidates.clone_from_slice(&after);
         starts
     }
 
+    /// Starts for tasks of a group with the numbers of their runs, until one finds no place.
+    fn try_each(
+        &self,
+        now: Millis,
+        group: &Ready<'_>,
+        boldness: Boldness,
+        tasks: &[(usize, u32)],
+        candidates: &mut [Candidate],
+    ) -> Vec<Start> {
+        let mut starts = Vec::new();
+        for (index, number) in tasks {
+            let task = group.task(*index);
+            let found = self.least_disturbed(now, group, task, boldness, candidates);
+            let Some(found) = found else { break };
+            candidates[found].take(task, group.step, group.served.clone());
+            candidates[found].tried += 1;
+            starts.push(candidates[found].start(RunName { task, number: *number }));
+        }
+        starts
+    }
+
     /// The place of the candidate on which a task is expected to disturb least, whatever that is; one on
     /// which it did not fail before, if there is any.
     fn least_disturbed(
