--- a/crates/pond-job/src/lead/candidate.rs
+++ b/crates/pond-job/src/lead/candidate.rs
@@ -123,8 +123,8 @@
     pub fn obstacle(&self, pool: &str, task: TaskName, step: &Step) -> Option<Obstacle> {
         if !self.allows(pool, task, step) {
             Some(Obstacle::Elsewhere)
-        } else if !self.sound_for(step) {
-            Some(Obstacle::Resting)
+        } else if let Some(unsound) = self.unsound_for(step) {
+            Some(unsound)
         } else if !step.size().fits(self.free) {
             Some(Obstacle::NoRoom)
         } else if !step.size().fits(self.free_beside_kept(task)) {
@@ -141,14 +141,25 @@
     pub fn admits(&self, pool: &str, task: TaskName, step: &Step, overlooked: &[Obstacle]) -> bool {
         let overlooks = |obstacle| overlooked.contains(&obstacle);
         let free = if overlooks(Obstacle::Kept) { self.free } else { self.free_beside_kept(task) };
-        let sound = overlooks(Obstacle::Resting) || self.sound_for(step);
+        let sound = self.unsound_for(step).is_none_or(overlooks);
         self.allows(pool, task, step) && sound && step.size().fits(free)
     }
 
-    /// Whether the worker neither rests nor is being probed. A lasting task tells nothing about a
-    /// worker's health for long, so it is no probe.
+    /// Whether the worker neither rests nor is being probed.
     pub fn sound_for(&self, step: &Step) -> bool {
-        if step.lasting { !self.resting } else { self.more > 0 }
+        self.unsound_for(step).is_none()
+    }
+
+    /// Why the worker is not taken for sound; none if it is. A lasting task tells nothing about a
+    /// worker's health for long, so it is no probe.
+    fn unsound_for(&self, step: &Step) -> Option<Obstacle> {
+        if self.resting {
+            Some(Obstacle::Resting)
+        } else if !step.lasting && self.more == 0 {
+            Some(Obstacle::Probed)
+        } else {
+            None
+        }
     }
 
     /// Whether a task could ever run there.
--- a/crates/pond-job/src/lead/ends.rs
+++ b/crates/pond-job/src/lead/ends.rs
@@ -140,10 +140,12 @@
             }
         }
         for run in unstarted {
-            self.unwanted.remove(run);
+            let moved = self.unwanted.remove(run);
             self.adviser.refused(*run, life);
-            if state.job(run.task.job).is_some_and(|job| job.advice.is_some()) {
-                // The ticket may have run out on its way, which says nothing about the worker.
+            let job = state.job(run.task.job).filter(|job| !job.phase.ended());
+            // A run that was called back, and one whose ticket may have run out on its way, say nothing
+            // about the worker.
+            if moved || job.is_none_or(|job| job.advice.is_some()) {
                 continue;
             }
             health.bad(now, run.task.job);
--- a/crates/pond-job/src/lead/obstacle.rs
+++ b/crates/pond-job/src/lead/obstacle.rs
@@ -7,8 +7,10 @@
 pub enum Obstacle {
     /// Another pool, a missing label, or too many tasks of the step there.
     Elsewhere,
-    /// The worker rests or is being probed after failures.
+    /// The worker rests after failures.
     Resting,
+    /// The worker is being probed after a rest.
+    Probed,
     /// Its room is taken.
     NoRoom,
     /// Its room is kept for a task that comes before.
--- a/crates/pond-job/src/lead/overdue.rs
+++ b/crates/pond-job/src/lead/overdue.rs
@@ -17,6 +17,7 @@
 
 use super::candidate::Candidate;
 use super::obstacle::{Obstacle, Obstacles};
+use super::plan::STARTS;
 use super::ready::Ready;
 use super::wait::Wait;
 use super::{Decision, Leader, Output};
@@ -43,9 +44,9 @@
 const TURN_MS: Span = 500;
 
 /// A job waits this long while room is scarce, in milliseconds: then waiting is the rule and a trial
-/// takes from others. Jobs take turns; with more of them than places each waits in proportion. One that
-/// stands still for as long gets room that is kept for others, and its tasks that failed before are tried
-/// on workers that rest if all do: twice the longest rest, as a failure costs one of the attempts.
+/// takes from others. Jobs take turns; with more of them than places each waits in proportion. Of one
+/// that stands still for as long, tasks that failed before are tried on workers that rest if all do: twice
+/// the longest rest, as a failure costs one of the attempts.
 const LONG_PATIENCE_MS: Span = 20_000;
 
 /// What a trial may ask of the workers.
@@ -53,7 +54,9 @@
 struct Boldness {
     /// Tried tasks on a worker at most.
     most_tried: usize,
-    /// Room that is kept for others is taken, and attempts are not spared.
+    /// Room that is kept for others is taken.
+    takes_kept: bool,
+    /// Attempts are not spared.
     desperate: bool,
 }
 
@@ -77,9 +80,11 @@
         }
         let still_ms = if lasting { waited_ms } else { wait.still_ms(now) };
         let due_ms = still_ms.min(waited_ms - patience_ms);
+        let desperate = still_ms >= LONG_PATIENCE_MS;
         let boldness = Boldness {
             most_tried: if plenty && due_ms >= TURN_MS { usize::MAX } else { MOST_TRIED },
-            desperate: still_ms >= LONG_PATIENCE_MS,
+            takes_kept: plenty || desperate,
+            desperate,
         };
         Some(Due { still_ms, boldness })
     }
@@ -99,6 +104,9 @@
         self.tried.retain(|run| is_placed(state, *run));
         let plenty = plenty(candidates);
         for (group, wait) in self.longest_still(now, blocked) {
+            if starts.len() >= STARTS {
+                break;
+            }
             let begun = starts.iter().any(|start| start.run.task.job == group.id);
             let Some(due) = Due::of(now, group, wait, plenty).filter(|_| !begun) else { continue };
             for start in self.trial(now, group, due.boldness, candidates) {
@@ -218,22 +226,25 @@
 
 /// The beliefs that a trial does not heed, besides harm and what serving tasks use. That a worker is
 /// sick is a comparison with others: where all that may run the task rest, jobs that can never be done
-/// are as likely. A task that has never failed is tried there, as that costs it one attempt at most.
-/// (In small pools with such jobs, sound ones stood still for up to 6.4 s instead of 3 s.)
+/// are as likely. And a worker that is being probed with a long run may be well for as long as that
+/// takes. A task that has never failed is tried there, as that costs it one attempt at most. (In small
+/// pools with jobs that can never be done, sound ones stood still for up to 6.4 s instead of 3 s.)
 fn overlooked(
     group: &Ready<'_>,
     task: TaskName,
     boldness: Boldness,
     candidates: &[Candidate],
 ) -> Vec<Obstacle> {
-    let mut able =
-        candidates.iter().filter(|there| there.allows(&group.job.pool, task, group.step));
-    let all_rest = able.all(|there| !there.sound_for(group.step));
+    let able = || candidates.iter().filter(|there| there.allows(&group.job.pool, task, group.step));
+    let all_rest = able().all(|there| !there.sound_for(group.step));
+    let sound_room =
+        able().any(|there| there.sound_for(group.step) && group.step.size().fits(there.free));
     let failed = group.tasks().get(task.index as usize).is_some_and(|task| task.failed > 0);
-    let spared = failed || group.job.attempts < 2;
-    let rest = (all_rest && (boldness.desperate || !spared)).then_some(Obstacle::Resting);
-    let kept = boldness.desperate.then_some(Obstacle::Kept);
-    rest.into_iter().chain(kept).collect()
+    let spared = (failed || group.job.attempts < 2) && !boldness.desperate;
+    let rest = (all_rest && !spared).then_some(Obstacle::Resting);
+    let probed = (!sound_room && !spared).then_some(Obstacle::Probed);
+    let kept = boldness.takes_kept.then_some(Obstacle::Kept);
+    rest.into_iter().chain(probed).chain(kept).collect()
 }
 
 /// Whether a run is the newest of its task and has a worker.
--- a/crates/pond-job/src/lead/plan.rs
+++ b/crates/pond-job/src/lead/plan.rs
@@ -13,7 +13,7 @@
 use crate::state::State;
 
 /// Starts in one proposal, so that an entry of the log stays small.
-const STARTS: usize = 256;
+pub(super) const STARTS: usize = 256;
 
 /// Serving tasks wait this long for others, in milliseconds, so that they are packed image by image:
 /// callers hand in what belongs together within some 50 ms. (With the two waits below and the order
@@ -47,6 +47,7 @@
             ready.retain(|group| group.served.is_none());
         }
         if ready.is_empty() {
+            self.waits.clear();
             return;
         }
         let mut candidates = self.candidates(state, now);
--- /dev/null
+++ b/crates/pond-job/tests/beliefs.rs
@@ -0,0 +1,242 @@
+//! Beliefs that keep work waiting, one by one: each has a bound, and none is taken for what it is not.
+
+mod support;
+
+use pond_job::{Change, Decision};
+use pond_proto::fleet::EndRow;
+use pond_proto::job::{How, RunName, Step};
+use support::{Bench, step, task};
+
+/// What platforms bear, in milliseconds.
+const BOUND_MS: u64 = 3_000;
+
+/// Time between figures, in milliseconds.
+const FIGURES_MS: u64 = 500;
+
+/// The serving job.
+const SERVING: u64 = 1;
+
+fn serving() -> Step {
+    let image = "till".to_owned();
+    Step { lasting: true, image, tail_target_ms: 18, ..step(1, 8_000) }
+}
+
+fn filling(image: &str, tasks: u32) -> Step {
+    Step { fills: true, image: image.to_owned(), ..step(tasks, 3_200) }
+}
+
+/// Half a second passes at these workers; runs get on, serving ones have this tail.
+fn pass(bench: &mut Bench, lives: &[&str], tail_ms: u32, milli_cpu: u32) {
+    bench.now = bench.now + FIGURES_MS;
+    for life in lives {
+        bench.obey(life);
+        let vm = bench.vms.get_mut(*life).unwrap();
+        vm.clock_ms += FIGURES_MS;
+        for (run, row) in &mut vm.runs {
+            let serves = run.task.job == SERVING;
+            row.percent = if serves { 100 } else { (row.percent + 1).min(99) };
+            row.figure = if serves { tail_ms } else { milli_cpu };
+        }
+        bench.report(life);
+    }
+    bench.settle();
+}
+
+/// A worker that serves, and an image that is known to disturb there.
+fn known_as_loud() -> Bench {
+    let mut bench = Bench::new().with_vm("a", 32_000);
+    bench.submit(SERVING, vec![serving()]);
+    bench.settle();
+    pass(&mut bench, &["a"], 6, 0);
+    bench.submit_batch(2, vec![filling("loud", 1)]);
+    bench.settle();
+    pass(&mut bench, &["a"], 9, 1_600);
+    pass(&mut bench, &["a"], 60, 3_200);
+    let run = bench.stopped("a")[0];
+    bench.end("a", run, How::Stopped);
+    bench.cancel(2);
+    pass(&mut bench, &["a"], 6, 0);
+    bench
+}
+
+fn run(job: u64, index: u32, number: u32) -> RunName {
+    RunName { task: task(job, 0, index), number }
+}
+
+/// Several ends come with one report.
+fn end_all(bench: &mut Bench, life: &str, runs: &[RunName], how: How) {
+    let vm = bench.vms.get_mut(life).unwrap();
+    for run in runs {
+        vm.runs.remove(run);
+        let number = vm.ends.len() as u64 + 1;
+        vm.ends.push(EndRow { number, run: *run, how: how as i32, save: String::new() });
+    }
+    bench.report(life);
+    bench.settle();
+}
+
+fn still_of(bench: &Bench, job: u64) -> Vec<u64> {
+    let still = |decision: &Decision| match decision {
+        Decision::Tried { run, still_ms, .. } if run.task.job == job => Some(*still_ms),
+        _ => None,
+    };
+    bench.decided.iter().filter_map(still).collect()
+}
+
+/// A run that was tried counts as running for as long as it does, also while nothing else waits.
+#[test]
+fn time_of_a_tried_run_does_not_count_as_standing_still() {
+    let mut bench = known_as_loud();
+    let first = Step { milli_cpu: 9_600, ..filling("loud", 1) };
+    let second = Step { after: vec![0], ..first.clone() };
+    bench.submit_batch(9, vec![first, second]);
+    while bench.place_of(task(9, 0, 0)).is_none() {
+        pass(&mut bench, &["a"], 6, 0);
+    }
+    for _ in 0..60 {
+        pass(&mut bench, &["a"], 6, 0);
+    }
+    bench.end("a", run(9, 0, 1), How::Done);
+    for _ in 0..8 {
+        pass(&mut bench, &["a"], 6, 0);
+    }
+    let still = still_of(&bench, 9);
+    assert_eq!(still.len(), 2, "{still:?}");
+    assert!(still[1] <= BOUND_MS, "{still:?}");
+}
+
+/// One that failed after a long run is spared its last attempt on a worker that rests.
+#[test]
+fn job_that_ran_for_long_and_failed_is_not_at_once_desperate() {
+    let mut bench = known_as_loud();
+    bench.submit(3, vec![Step { estimate_ms: 60_000, ..step(1, 1_000) }]);
+    bench.settle();
+    bench.submit_batch(9, vec![Step { milli_cpu: 9_600, ..filling("loud", 1) }]);
+    while bench.place_of(task(9, 0, 0)).is_none() {
+        pass(&mut bench, &["a"], 6, 0);
+    }
+    assert_eq!(still_of(&bench, 9).len(), 1);
+    for _ in 0..60 {
+        pass(&mut bench, &["a"], 6, 0);
+    }
+    end_all(&mut bench, "a", &[run(3, 0, 1), run(9, 0, 1)], How::Failed);
+    assert!(bench.decided.iter().any(|decision| matches!(decision, Decision::Sick { .. })));
+    let still = still_of(&bench, 9);
+    assert_eq!(bench.place_of(task(9, 0, 0)), None, "tried on a worker that rests: {still:?}");
+}
+
+/// Worker `a` came out of a rest and is probed with a run that goes on for long.
+fn probed_for_long() -> Bench {
+    let mut bench = Bench::new().with_vm("a", 32_000);
+    for job in [11, 12] {
+        bench.submit(job, vec![step(1, 1_000)]);
+    }
+    bench.settle();
+    pass(&mut bench, &["a"], 0, 0);
+    end_all(&mut bench, "a", &[run(11, 0, 1), run(12, 0, 1)], How::Failed);
+    bench.cancel(11);
+    bench.cancel(12);
+    bench.submit(13, vec![Step { estimate_ms: 600_000, ..step(1, 1_000) }]);
+    for _ in 0..8 {
+        pass(&mut bench, &["a"], 0, 0);
+    }
+    assert!(bench.place_of(task(13, 0, 0)).is_some());
+    bench
+}
+
+/// How long a job of one task waits for its place, in milliseconds; a minute at most.
+fn waits_ms(bench: &mut Bench, lives: &[&str], job: u64) -> u64 {
+    let from = bench.now;
+    while bench.now.since(from) < 60_000 && bench.place_of(task(job, 0, 0)).is_none() {
+        pass(bench, lives, 0, 0);
+    }
+    bench.now.since(from)
+}
+
+#[test]
+fn worker_that_is_probed_for_long_takes_work_within_the_bound() {
+    let mut bench = probed_for_long();
+    bench.submit(14, vec![step(1, 2_000)]);
+    let waited = waits_ms(&mut bench, &["a"], 14);
+    assert!(waited <= BOUND_MS, "{waited}");
+}
+
+#[test]
+fn worker_that_is_probed_for_long_takes_work_also_beside_a_sound_one_without_room() {
+    let mut bench = probed_for_long();
+    bench.add_vm("b", 4_000);
+    bench.submit(20, vec![Step { lasting: true, data_rack: String::new(), ..step(1, 4_000) }]);
+    bench.settle();
+    // The lasting task may have gone to either; fill b for sure.
+    if bench.place_of(task(20, 0, 0)).as_deref() != Some("b") {
+        bench.submit(21, vec![Step { lasting: true, ..step(1, 4_000) }]);
+        bench.settle();
+    }
+    let free_b =
+        [20, 21].iter().any(|job| bench.place_of(task(*job, 0, 0)).as_deref() == Some("b"));
+    assert!(free_b);
+    bench.submit(14, vec![step(1, 2_000)]);
+    let waited = waits_ms(&mut bench, &["a", "b"], 14);
+    assert!(waited <= BOUND_MS, "{waited}");
+}
+
+/// Room that is kept for lasting tasks that fit nowhere keeps others away for no longer than platforms bear.
+#[test]
+fn kept_room_keeps_others_waiting_within_the_bound() {
+    let mut bench = Bench::new().with_vm("a", 16_000).with_vm("b", 16_000);
+    bench.submit(30, vec![Step { estimate_ms: 600_000, most_per_worker: 1, ..step(2, 7_000) }]);
+    bench.settle();
+    pass(&mut bench, &["a", "b"], 0, 0);
+    bench.submit(31, vec![Step { lasting: true, ..step(2, 9_500) }]);
+    bench.submit(32, vec![step(1, 4_000)]);
+    let waited = waits_ms(&mut bench, &["a", "b"], 32);
+    assert!(waited <= BOUND_MS, "{waited}");
+}
+
+/// A run that was stopped before it started since its job was cancelled says nothing of its worker.
+#[test]
+fn unstarted_runs_of_cancelled_jobs_do_not_make_a_worker_rest() {
+    let mut bench = Bench::new().with_vm("a", 4_000);
+    bench.submit(1, vec![step(1, 500)]);
+    bench.submit(2, vec![step(1, 500)]);
+    bench.settle();
+    bench.cancel(1);
+    bench.cancel(2);
+    bench.settle();
+    let vm = bench.vms.get_mut("a").unwrap();
+    vm.unstarted = vec![run(1, 0, 1), run(2, 0, 1)];
+    bench.report("a");
+    bench.settle();
+    let sick = bench.decided.iter().any(|decision| matches!(decision, Decision::Sick { .. }));
+    assert!(!sick, "{:?}", bench.decided);
+}
+
+/// One proposal stays small, trials counted.
+#[test]
+fn trials_of_many_jobs_do_not_make_a_proposal_large() {
+    let mut bench = known_as_loud();
+    let lives: Vec<String> = (0..60).map(|i| format!("w{i:02}")).collect();
+    for life in &lives {
+        bench.add_vm(life, 32_000);
+    }
+    let each = Step { tasks: 60, most_per_worker: 1, milli_cpu: 12_000, ..serving() };
+    bench.submit(50, vec![each]);
+    bench.settle();
+    for job in 100..900 {
+        bench.submit_batch(
+            job,
+            vec![Step { milli_cpu: 1_600, memory_mib: 10, ..filling("loud", 1) }],
+        );
+    }
+    let lives: Vec<&str> = lives.iter().map(String::as_str).chain(["a"]).collect();
+    let before = bench.proposed.len();
+    for _ in 0..10 {
+        pass(&mut bench, &lives, 6, 0);
+    }
+    let starts = |change: &Change| match change {
+        Change::Start(starts) => starts.len(),
+        _ => 0,
+    };
+    let most = bench.proposed[before..].iter().map(starts).max().unwrap_or(0);
+    assert!(most <= 256, "{most} starts in one proposal");
+}
--- a/crates/pond-job/tests/world/watch.rs
+++ b/crates/pond-job/tests/world/watch.rs
@@ -27,8 +27,9 @@
 const PLENTY_PERCENT: u32 = 40;
 
 /// What may be in the way on workers on which a task may run.
-const OBSTACLES: [Obstacle; 6] = [
+const OBSTACLES: [Obstacle; 7] = [
     Obstacle::Resting,
+    Obstacle::Probed,
     Obstacle::NoRoom,
     Obstacle::Kept,
     Obstacle::Busy,
--- a/crates/pond-replica/src/audit.rs
+++ b/crates/pond-replica/src/audit.rs
@@ -37,7 +37,8 @@
                 event!(self.log, JOB_WAITS, "job" => format!("{job:016x}"), "step" => step,
                     "tasks" => tasks, "placed" => placed, "since_ms" => since_ms, "still_ms" => still_ms, "image" => image,
                     "elsewhere" => count(Obstacle::Elsewhere),
-                    "resting" => count(Obstacle::Resting), "no_room" => count(Obstacle::NoRoom),
+                    "resting" => count(Obstacle::Resting),
+                    "probed" => count(Obstacle::Probed), "no_room" => count(Obstacle::NoRoom),
                     "kept" => count(Obstacle::Kept),
                     "busy" => count(Obstacle::Busy),
                     "no_ticket" => count(Obstacle::NoTicket), "harm" => count(Obstacle::Harm));
