Tests of filling work share their steps

Cause: three test files had the same serving and filling steps. Ruled out: a change of what they check (assertions untouched). Change: the steps stand once in the tests' support. Conclusion: one place to change.

--- a/crates/pond-job/tests/beliefs.rs
+++ b/crates/pond-job/tests/beliefs.rs
@@ -5,7 +5,7 @@
 use pond_job::{Change, Decision};
 use pond_proto::fleet::EndRow;
 use pond_proto::job::{How, RunName, Step};
-use support::{Bench, step, task};
+use support::{Bench, SERVING, filling, serving, step, task};
 
 /// What platforms bear, in milliseconds.
 const BOUND_MS: u64 = 3_000;
@@ -13,18 +13,6 @@
 /// Time between figures, in milliseconds.
 const FIGURES_MS: u64 = 500;
 
-/// The serving job.
-const SERVING: u64 = 1;
-
-fn serving() -> Step {
-    let image = "till".to_owned();
-    Step { lasting: true, image, tail_target_ms: 18, ..step(1, 8_000) }
-}
-
-fn filling(image: &str, tasks: u32) -> Step {
-    Step { fills: true, image: image.to_owned(), ..step(tasks, 3_200) }
-}
-
 /// Half a second passes at these workers; runs get on, serving ones have this tail.
 fn pass(bench: &mut Bench, lives: &[&str], tail_ms: u32, milli_cpu: u32) {
     bench.now = bench.now + FIGURES_MS;
--- a/crates/pond-job/tests/harm.rs
+++ b/crates/pond-job/tests/harm.rs
@@ -4,18 +4,7 @@
 
 use pond_job::Decision;
 use pond_proto::job::{How, RunName, Step};
-use support::{Bench, step, task};
-
-/// Serving work that should answer within 18 ms.
-fn serving() -> Step {
-    let image = "till".to_owned();
-    Step { lasting: true, image, tail_target_ms: 18, ..step(1, 8_000) }
-}
-
-/// Filling work of an image that asks for a tenth of a worker.
-fn filling(image: &str) -> Step {
-    Step { fills: true, image: image.to_owned(), ..step(1, 3_200) }
-}
+use support::{Bench, filling, serving, task};
 
 /// A worker with a serving run of job 1 at work, and filling runs of jobs 2 and on.
 fn beside(images: &[&str]) -> Bench {
@@ -25,7 +14,7 @@
     bench.obey("a");
     show(&mut bench, "a", &[(1, 6)]);
     for (i, image) in images.iter().enumerate() {
-        bench.submit_batch(i as u64 + 2, vec![filling(image)]);
+        bench.submit_batch(i as u64 + 2, vec![filling(image, 1)]);
         bench.settle();
     }
     bench.obey("a");
@@ -107,7 +96,7 @@
     for _ in 0..8 {
         show(&mut bench, "a", &[(1, 6), (2, 3_200)]);
     }
-    bench.submit_batch(3, vec![filling("loud")]);
+    bench.submit_batch(3, vec![filling("loud", 1)]);
     bench.settle();
     bench.obey("a");
     show(&mut bench, "a", &[(1, 80), (2, 3_200), (3, 3_200)]);
@@ -128,7 +117,7 @@
 fn image_known_to_disturb_is_not_placed_there_again() {
     let (mut bench, _) = known_as_loud();
     show(&mut bench, "a", &[(1, 6)]);
-    bench.submit_batch(9, vec![filling("loud")]);
+    bench.submit_batch(9, vec![filling("loud", 1)]);
     bench.settle();
     assert_eq!(bench.place_of(task(9, 0, 0)), None);
 }
@@ -153,7 +142,7 @@
 fn job_that_only_a_guess_keeps_waiting_is_tried_after_a_while() {
     let (mut bench, _) = known_as_loud();
     show(&mut bench, "a", &[(1, 6)]);
-    bench.submit_batch(9, vec![filling("loud")]);
+    bench.submit_batch(9, vec![filling("loud", 1)]);
     for _ in 0..3 {
         show(&mut bench, "a", &[(1, 6)]);
     }
@@ -174,7 +163,7 @@
 fn two_tasks_are_tried_on_a_worker_until_jobs_have_stood_still_for_too_long() {
     let (mut bench, _) = known_as_loud();
     for job in 9..12 {
-        bench.submit_batch(job, vec![Step { tasks: 4, ..filling("loud") }]);
+        bench.submit_batch(job, vec![Step { tasks: 4, ..filling("loud", 1) }]);
     }
     // Job 2, whose run was moved, waits for a place as the others do.
     for _ in 0..3 {
@@ -213,8 +202,8 @@
     bench.cancel(run.task.job);
     bench.replace_leader();
     show(&mut bench, "a", &[(1, 6)]);
-    bench.submit_batch(9, vec![filling("loud")]);
-    bench.submit_batch(10, vec![filling("other")]);
+    bench.submit_batch(9, vec![filling("loud", 1)]);
+    bench.submit_batch(10, vec![filling("other", 1)]);
     show(&mut bench, "a", &[(1, 6)]);
     let placed = [9, 10].map(|job| bench.place_of(task(job, 0, 0)).is_some());
     assert_eq!(placed, [false, true]);
--- a/crates/pond-job/tests/starved.rs
+++ b/crates/pond-job/tests/starved.rs
@@ -17,8 +17,8 @@
 
 mod support;
 
-use pond_proto::job::{How, RunName, Step};
-use support::{Bench, step};
+use pond_proto::job::{How, RunName};
+use support::{Bench, SERVING, filling, serving};
 
 /// From when on a job may not stand still while most of the room is free, in milliseconds: what
 /// platforms bear.
@@ -27,20 +27,6 @@
 /// Time between figures, in milliseconds.
 const FIGURES_MS: u64 = 500;
 
-/// The serving job.
-const SERVING: u64 = 1;
-
-/// Serving work that should answer within 18 ms, on a quarter of a worker.
-fn serving() -> Step {
-    let image = "till".to_owned();
-    Step { lasting: true, image, tail_target_ms: 18, ..step(1, 8_000) }
-}
-
-/// Filling tasks of an image that asks for a tenth of a worker.
-fn filling(image: &str, tasks: u32) -> Step {
-    Step { fills: true, image: image.to_owned(), ..step(tasks, 3_200) }
-}
-
 /// What the worker's runs show: the tail of the serving one, and the processors of filling ones.
 #[derive(Clone, Copy)]
 struct Figures {
--- a/crates/pond-job/tests/support/mod.rs
+++ b/crates/pond-job/tests/support/mod.rs
@@ -52,6 +52,20 @@
     TaskName { job, time: 0, step, index }
 }
 
+/// The job that serves, in tests of what fills beside it.
+pub const SERVING: u64 = 1;
+
+/// Serving work that should answer within 18 ms, on a quarter of a worker of 32 processors.
+pub fn serving() -> Step {
+    let image = "till".to_owned();
+    Step { lasting: true, image, tail_target_ms: 18, ..step(1, 8_000) }
+}
+
+/// Filling tasks of an image that asks for a tenth of such a worker.
+pub fn filling(image: &str, tasks: u32) -> Step {
+    Step { fills: true, image: image.to_owned(), ..step(tasks, 3_200) }
+}
+
 /// A worker as the tests see it.
 pub struct Vm {
     pub link: u64,
