Trials and placements keep what the filling tasks of a worker add, instead of summing anew

Cause: for each group and worker a trial cloned the fillers there and summed over all pairs of serving and filling tasks, each with two look-ups by name, and twice for each comparison of workers. Ruled out: fewer trials in a plan (behaviour); an index of workers (not small). Change: a candidate keeps the sum for each image that it serves, in the same order of additions; a key of a worker is made once; loads are looked up of serving runs only.

--- a/crates/pond-job/src/lead/candidate.rs
+++ b/crates/pond-job/src/lead/candidate.rs
@@ -8,8 +8,8 @@
 use crate::change::Start;
 
 use super::advice::StepName;
-use super::beside::{Filler, Served};
-use super::harm::Harm;
+use super::beside::{Filler, Served, share};
+use super::harm::{Harm, Pressed};
 use super::obstacle::Obstacle;
 use super::worker::Worker;
 
@@ -51,7 +51,7 @@
     /// Processors that nothing uses, filling tasks counted, in thousandths.
     pub idle: i64,
     /// Serving tasks there, one entry for each image: the target of the first, the highest load.
-    pub served: Vec<Served>,
+    pub served: Vec<Pressed>,
     /// Filling tasks there.
     pub fillers: Vec<Filler>,
     /// How many more runs it may be given that end by themselves.
@@ -92,11 +92,11 @@
     }
 
     /// Gives it a task.
-    pub fn take(&mut self, task: TaskName, step: &Step, served: Option<Served>) {
+    pub fn take(&mut self, task: TaskName, step: &Step, served: Option<Served>, harm: &Harm) {
         self.free = minus(self.free, step.size());
         self.idle -= used(step);
-        self.serve(served);
-        self.fillers.extend(Filler::of(step, self.processors));
+        self.serve(served, harm);
+        self.fill(step, harm);
         if !step.lasting {
             self.passing = self.passing.plus(step.size());
             self.more = self.more.saturating_sub(1);
@@ -105,14 +105,22 @@
     }
 
     /// Adds a serving task, the highest load of each image counting.
-    fn serve(&mut self, served: Option<Served>) {
+    fn serve(&mut self, served: Option<Served>, harm: &Harm) {
         let Some(served) = served else { return };
-        match self.served.iter_mut().find(|there| there.image == served.image) {
-            Some(there) => there.load = there.load.max(served.load),
-            None => self.served.push(served),
+        let alike = |there: &&mut Pressed| there.served.image == served.image;
+        match self.served.iter_mut().find(alike) {
+            Some(there) => there.served.load = there.served.load.max(served.load),
+            None => self.served.push(harm.pressed(served, &self.fillers)),
         }
     }
 
+    /// Adds a filling task; other tasks do not count.
+    fn fill(&mut self, step: &Step, harm: &Harm) {
+        let Some(filler) = Filler::of(step, self.processors) else { return };
+        harm.press(&mut self.served, &filler);
+        self.fillers.push(filler);
+    }
+
     /// Whether a task may run there now, whatever it does to the serving tasks there.
     pub fn fits(&self, pool: &str, task: TaskName, step: &Step) -> bool {
         self.obstacle(pool, task, step).is_none()
@@ -213,8 +221,8 @@
         if let Some(served) = served {
             return (near, self.suits(served, harm), -self.idle);
         }
-        if let Some(filler) = self.disturber(step) {
-            let added = harm.added(&self.served, &filler);
+        if self.disturbs(step) {
+            let added = harm.added_more(&self.served, &step.image, self.share(step));
             return (near, -hundredths(added), self.idle);
         }
         let room = i64::from(self.idle >= i64::from(step.milli_cpu));
@@ -227,28 +235,34 @@
     fn suits(&self, served: &Served, harm: &Harm) -> i64 {
         let disturbed = harm.excess(std::slice::from_ref(served), &self.fillers).max(0.0);
         let together = i64::from(!self.served.is_empty());
-        let alike = i64::from(self.served.iter().any(|there| there.image == served.image));
+        let alike = i64::from(self.served.iter().any(|there| there.served.image == served.image));
         let images = self.served.len() as i64;
         TOGETHER * together + ALIKE * alike - images - DISTURBED * tenths(disturbed)
     }
 
     /// Whether the serving tasks here would keep their targets beside one more filling task.
     pub fn bears(&self, step: &Step, harm: &Harm) -> bool {
-        let filler = self.disturber(step);
-        filler.is_none_or(|filler| harm.bearable(&self.served, &self.fillers, &filler))
+        !self.disturbs(step) || harm.bearable(&self.served, &step.image, self.share(step))
     }
 
     /// By how much the pressure on serving tasks here would exceed what their targets allow beside
     /// one more task.
     pub fn excess_with(&self, step: &Step, harm: &Harm) -> f64 {
-        let mut fillers = self.fillers.clone();
-        fillers.extend(Filler::of(step, self.processors));
-        harm.excess(&self.served, &fillers)
+        if step.fills {
+            harm.excess_more(&self.served, &step.image, self.share(step))
+        } else {
+            harm.excess_there(&self.served)
+        }
+    }
+
+    /// Whether a task fills, and there are serving ones that it could disturb.
+    fn disturbs(&self, step: &Step) -> bool {
+        step.fills && !self.served.is_empty()
     }
 
-    /// A filling task, if there are serving ones that it could disturb.
-    fn disturber(&self, step: &Step) -> Option<Filler> {
-        Filler::of(step, self.processors).filter(|_| !self.served.is_empty())
+    /// The share of the processors here that a task asks for.
+    fn share(&self, step: &Step) -> f64 {
+        share(step.milli_cpu, self.processors)
     }
 }
 
--- a/crates/pond-job/src/lead/harm.rs
+++ b/crates/pond-job/src/lead/harm.rs
@@ -44,6 +44,19 @@
     used: BTreeMap<String, BTreeMap<String, f64>>,
 }
 
+/// Serving tasks of one image beside the filling tasks of a worker. A plan asks many times what one more
+/// filling task would do, so the sum over those that are there is kept: without it a trial among 1,200
+/// workers takes 17 ms.
+#[derive(Clone, Debug)]
+pub struct Pressed {
+    /// The serving tasks.
+    pub served: Served,
+    /// What the filling tasks there add to the pressure.
+    added: f64,
+    /// The pressure at which the target is just kept.
+    allowed: f64,
+}
+
 /// What is known of the serving tasks of an image.
 #[derive(Debug)]
 struct Model {
@@ -127,6 +140,9 @@
 
     /// A serving run as it is expected to be now; none for other runs.
     pub fn served(&self, now: Millis, run: RunName, step: &Step) -> Option<Served> {
+        if !step.serves() {
+            return None;
+        }
         let load = self.loads.get(&run).copied().unwrap_or(Load::new(now));
         Served::of(step, load.at(now).0)
     }
@@ -169,14 +185,52 @@
         served.iter().map(|served| self.added_to(served, filler)).fold(0.0, f64::max)
     }
 
-    /// Whether serving tasks bear one more filling task beside those that are there.
-    pub fn bearable(&self, served: &[Served], fillers: &[Filler], more: &Filler) -> bool {
-        if served.is_empty() || self.added(served, more) <= SLIGHT {
-            return true;
+    /// Serving tasks beside these filling ones.
+    pub fn pressed(&self, served: Served, fillers: &[Filler]) -> Pressed {
+        let added = fillers.iter().map(|filler| self.added_to(&served, filler)).sum::<f64>();
+        let allowed = self.allowed(&served);
+        Pressed { served, added, allowed }
+    }
+
+    /// One more filling task comes.
+    pub fn press(&self, there: &mut [Pressed], more: &Filler) {
+        for pressed in there {
+            pressed.added += self.added_to(&pressed.served, more);
         }
-        let mut all = fillers.to_vec();
-        all.push(more.clone());
-        self.excess(served, &all) <= -MARGIN
+    }
+
+    /// How much a filling task of an image that uses this share of the processors adds to the pressure
+    /// on each of the serving ones.
+    fn added_each(&self, there: &[Pressed], image: &str, share: f64) -> impl Iterator<Item = f64> {
+        there.iter().map(move |pressed| self.coefficient(&pressed.served.image, image) * share)
+    }
+
+    /// How much such a filling task adds to the pressure on serving ones, the worst of them.
+    pub fn added_more(&self, there: &[Pressed], image: &str, share: f64) -> f64 {
+        self.added_each(there, image, share).fold(0.0, f64::max)
+    }
+
+    /// By how much the pressure on serving tasks is expected to exceed what their targets allow beside
+    /// one more such filling task, the worst of them.
+    pub fn excess_more(&self, there: &[Pressed], image: &str, share: f64) -> f64 {
+        let more = self.added_each(there, image, share);
+        let excess = |(pressed, more): (&Pressed, f64)| {
+            pressed.served.load + (pressed.added + more) - pressed.allowed
+        };
+        there.iter().zip(more).map(excess).fold(f64::NEG_INFINITY, f64::max)
+    }
+
+    /// The same as they are.
+    pub fn excess_there(&self, there: &[Pressed]) -> f64 {
+        let excess = |pressed: &Pressed| pressed.served.load + pressed.added - pressed.allowed;
+        there.iter().map(excess).fold(f64::NEG_INFINITY, f64::max)
+    }
+
+    /// Whether serving tasks bear one more such filling task beside those that are there.
+    pub fn bearable(&self, there: &[Pressed], image: &str, share: f64) -> bool {
+        there.is_empty()
+            || self.added_more(there, image, share) <= SLIGHT
+            || self.excess_more(there, image, share) <= -MARGIN
     }
 
     /// Which filling tasks must go so that the serving ones keep their targets, none if they do;
--- a/crates/pond-job/src/lead/overdue.rs
+++ b/crates/pond-job/src/lead/overdue.rs
@@ -168,7 +168,7 @@
             let task = group.task(*index);
             let found = self.least_disturbed(now, group, task, boldness, candidates);
             let Some(found) = found else { break };
-            candidates[found].take(task, group.step, group.served.clone());
+            candidates[found].take(task, group.step, group.served.clone(), &self.harm);
             candidates[found].tried += 1;
             starts.push(candidates[found].start(RunName { task, number: *number }));
         }
@@ -195,14 +195,15 @@
         let failed = |candidate: &Candidate| {
             avoided.is_some_and(|avoided| avoided.contains(&candidate.life))
         };
-        let excess = |candidate: &Candidate| candidate.excess_with(group.step, &self.harm);
         let found = candidates.iter().enumerate().filter(|(_, candidate)| open(candidate));
-        let key = |candidate: &Candidate| (failed(candidate), excess(candidate));
-        let least = |(_, a): &(usize, &Candidate), (_, b): &(usize, &Candidate)| {
-            let ((a_failed, a_excess), (b_failed, b_excess)) = (key(a), key(b));
-            a_failed.cmp(&b_failed).then(a_excess.total_cmp(&b_excess))
+        let keyed = found.map(|(i, candidate)| {
+            (i, failed(candidate), candidate.excess_with(group.step, &self.harm))
+        });
+        let least = |(_, a_failed, a_excess): &(usize, bool, f64),
+                     (_, b_failed, b_excess): &(usize, bool, f64)| {
+            a_failed.cmp(b_failed).then(a_excess.total_cmp(b_excess))
         };
-        found.min_by(least).map(|(i, _)| i)
+        keyed.min_by(least).map(|(i, _, _)| i)
     }
 }
 
--- a/crates/pond-job/src/lead/plan.rs
+++ b/crates/pond-job/src/lead/plan.rs
@@ -106,7 +106,7 @@
             state.placed(life).filter_map(|run| Some((run, state.step(run.task)?))).collect();
         let mut candidate = Candidate::new(life, worker);
         for (run, step) in &placed {
-            candidate.take(run.task, step, self.harm.served(now, *run, step));
+            candidate.take(run.task, step, self.harm.served(now, *run, step), &self.harm);
         }
         let health = self.health.get(&worker.agent);
         let passing = placed.iter().filter(|(_, step)| !step.lasting).count();
@@ -140,7 +140,7 @@
                 keep_room(group, index, candidates);
                 return Some(obstacles);
             };
-            candidates[found].take(name, group.step, group.served.clone());
+            candidates[found].take(name, group.step, group.served.clone(), &self.harm);
             let run = RunName { task: name, number: task.run + 1 };
             starts.push(candidates[found].start(run));
         }
@@ -167,7 +167,7 @@
             let Some(found) = self.best(now, group, name, &after) else {
                 return Some(self.obstacles(now, group, name, &after));
             };
-            after[found].take(name, group.step, group.served.clone());
+            after[found].take(name, group.step, group.served.clone(), &self.harm);
             let run = RunName { task: name, number };
             placed.push(after[found].start(run));
         }
