Workers that rest or are probed take work where no sound one can; units set aside are looked at again

Besides, by reading: room counted as plenty over all pools. Ruled out: trials on sick workers for tasks that failed before (spared as before).

--- a/crates/pond-job/src/lead/ask.rs
+++ b/crates/pond-job/src/lead/ask.rs
@@ -7,7 +7,7 @@
 
 use super::advice::{Permit, Question, StepName};
 use super::candidate::Candidate;
-use super::overdue::PATIENCE_MS;
+use super::overdue::{PATIENCE_MS, UNSOUND};
 use super::ready::Ready;
 use super::{Leader, Output};
 use crate::configuration::Advice;
@@ -50,13 +50,23 @@
             let Some(advice) = group.job.advice else { continue };
             let task = group.task(0);
             let pool = &group.job.pool;
+            let lives = |asked: &dyn Fn(&Candidate) -> bool| -> Vec<String> {
+                let asked = candidates.iter().filter(|candidate| asked(candidate));
+                asked.map(|candidate| candidate.life.clone()).collect()
+            };
             // A trial does not heed who is busy, so it needs tickets for those, too.
-            let asked = |candidate: &&Candidate| match near_ms {
-                None => candidate.fits(pool, task, group.step),
-                Some(_) => candidate.admits(pool, task, group.step, &[]),
+            let sound = match near_ms {
+                None => lives(&|candidate| candidate.fits(pool, task, group.step)),
+                Some(_) => lives(&|candidate| candidate.admits(pool, task, group.step, &[])),
             };
-            let workers = candidates.iter().filter(asked).map(|candidate| candidate.life.clone());
-            let question = self.adviser.question(now, task.into(), workers, advice);
+            let allowed = sound.iter().any(|life| !self.lacks_ticket(now, group, task, life));
+            let mut question = self.adviser.question(now, task.into(), sound.into_iter(), advice);
+            if question.is_none() && near_ms.is_some() && !allowed {
+                // Where no sound worker may take it, others are tried.
+                let any = |there: &Candidate| there.admits(pool, task, group.step, &UNSOUND);
+                let others = lives(&any).into_iter();
+                question = self.adviser.question(now, task.into(), others, advice);
+            }
             self.outputs.extend(question.map(Output::Advise));
         }
     }
--- a/crates/pond-job/src/lead/candidate.rs
+++ b/crates/pond-job/src/lead/candidate.rs
@@ -153,11 +153,6 @@
         self.allows(pool, task, step) && sound && step.size().fits(free)
     }
 
-    /// Whether the worker neither rests nor is being probed.
-    pub fn sound_for(&self, step: &Step) -> bool {
-        self.unsound_for(step).is_none()
-    }
-
     /// Why the worker is not taken for sound; none if it is. A lasting task tells nothing about a
     /// worker's health for long, so it is no probe.
     fn unsound_for(&self, step: &Step) -> Option<Obstacle> {
@@ -171,7 +166,7 @@
     }
 
     /// Whether a task could ever run there.
-    pub fn allows(&self, pool: &str, task: TaskName, step: &Step) -> bool {
+    fn allows(&self, pool: &str, task: TaskName, step: &Step) -> bool {
         self.allows_beside(pool, task, step, 0)
     }
 
--- a/crates/pond-job/src/lead/overdue.rs
+++ b/crates/pond-job/src/lead/overdue.rs
@@ -11,6 +11,7 @@
 //! one would start only after two seconds in which nothing of it runs.
 
 use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
 
 use pond_proto::job::{RunName, TaskName};
 use pond_proto::{Millis, Span};
@@ -49,6 +50,9 @@
 /// the longest rest, as a failure costs one of the attempts.
 const LONG_PATIENCE_MS: Span = 20_000;
 
+/// Why a worker is not taken for sound.
+pub(super) const UNSOUND: [Obstacle; 2] = [Obstacle::Resting, Obstacle::Probed];
+
 /// What a trial may ask of the workers.
 #[derive(Clone, Copy)]
 struct Boldness {
@@ -102,12 +106,13 @@
         starts: &mut Vec<Start>,
     ) {
         self.tried.retain(|run| is_placed(state, *run));
-        let plenty = plenty(candidates);
+        let roomy = roomy_pools(candidates);
         for (group, wait) in self.longest_still(now, blocked) {
             if starts.len() >= STARTS {
                 break;
             }
             let begun = starts.iter().any(|start| start.run.task.job == group.id);
+            let plenty = roomy.contains(&group.job.pool);
             let Some(due) = Due::of(now, group, wait, plenty).filter(|_| !begun) else { continue };
             for start in self.trial(now, group, due.boldness, candidates) {
                 let (run, worker, still_ms) = (start.run, start.worker.clone(), due.still_ms);
@@ -174,6 +179,31 @@
         starts
     }
 
+    /// The beliefs that a trial does not heed, besides harm and what serving tasks use. That a worker is
+    /// sick is a comparison with others: where no sound one can take the task, jobs that can never be done
+    /// are as likely, and a worker that is probed with a long run may be well for as long as that takes. Only
+    /// a task that has never failed is tried there, which costs it one attempt at most.
+    fn overlooked(
+        &self,
+        now: Millis,
+        group: &Ready<'_>,
+        task: TaskName,
+        boldness: Boldness,
+        candidates: &[Candidate],
+    ) -> Vec<Obstacle> {
+        let kept = boldness.takes_kept.then_some(Obstacle::Kept);
+        let failed = group.tasks().get(task.index as usize).is_some_and(|task| task.failed > 0);
+        let spared = (failed || group.job.attempts < 2) && !boldness.desperate;
+        let sound = |there: &Candidate| {
+            there.admits(&group.job.pool, task, group.step, &[Obstacle::Kept])
+                && !self.lacks_ticket(now, group, task, &there.life)
+        };
+        if spared || candidates.iter().any(sound) {
+            return kept.into_iter().collect();
+        }
+        kept.into_iter().chain(UNSOUND).collect()
+    }
+
     /// The place of the candidate on which a task is expected to disturb least, whatever that is; one on
     /// which it did not fail before, if there is any.
     fn least_disturbed(
@@ -184,7 +214,7 @@
         boldness: Boldness,
         candidates: &[Candidate],
     ) -> Option<usize> {
-        let overlooked = overlooked(group, task, boldness, candidates);
+        let overlooked = self.overlooked(now, group, task, boldness, candidates);
         let open = |candidate: &Candidate| {
             let lacking = self.lacks_ticket(now, group, task, &candidate.life);
             let admitted = candidate.admits(&group.job.pool, task, group.step, &overlooked);
@@ -225,39 +255,21 @@
     waiting().min_by_key(|(_, task)| task.failed).map(next).into_iter().collect()
 }
 
-/// The beliefs that a trial does not heed, besides harm and what serving tasks use. That a worker is
-/// sick is a comparison with others: where all that may run the task rest, jobs that can never be done
-/// are as likely. And a worker that is being probed with a long run may be well for as long as that
-/// takes. A task that has never failed is tried there, as that costs it one attempt at most. (In small
-/// pools with jobs that can never be done, sound ones stood still for up to 6.4 s instead of 3 s.)
-fn overlooked(
-    group: &Ready<'_>,
-    task: TaskName,
-    boldness: Boldness,
-    candidates: &[Candidate],
-) -> Vec<Obstacle> {
-    let able = || candidates.iter().filter(|there| there.allows(&group.job.pool, task, group.step));
-    let all_rest = able().all(|there| !there.sound_for(group.step));
-    let sound_room =
-        able().any(|there| there.sound_for(group.step) && group.step.size().fits(there.free));
-    let failed = group.tasks().get(task.index as usize).is_some_and(|task| task.failed > 0);
-    let spared = (failed || group.job.attempts < 2) && !boldness.desperate;
-    let rest = (all_rest && !spared).then_some(Obstacle::Resting);
-    let probed = (!sound_room && !spared).then_some(Obstacle::Probed);
-    let kept = boldness.takes_kept.then_some(Obstacle::Kept);
-    rest.into_iter().chain(probed).chain(kept).collect()
-}
-
 /// Whether a run is the newest of its task and has a worker.
 fn is_placed(state: &State, run: RunName) -> bool {
     let task = state.job(run.task.job).and_then(|job| job.task(run.task));
     task.is_some_and(|task| task.run == run.number && task.worker.is_some())
 }
 
-/// Whether room is plenty, in processors that tasks ask for, of the workers that can be given
+/// The pools in which room is plenty, in processors that tasks ask for, of the workers that can be given
 /// something. Those that are silent are left out: what they have free is of no use.
-fn plenty(candidates: &[Candidate]) -> bool {
-    let all: u64 = candidates.iter().map(|candidate| u64::from(candidate.processors)).sum();
-    let free: u64 = candidates.iter().map(|candidate| u64::from(candidate.free.milli_cpu)).sum();
-    free * 100 > all * PLENTY_PERCENT
+fn roomy_pools(candidates: &[Candidate]) -> BTreeSet<String> {
+    let mut pools: BTreeMap<&str, (u64, u64)> = BTreeMap::new();
+    for candidate in candidates {
+        let (free, all) = pools.entry(&candidate.pool).or_default();
+        *free += u64::from(candidate.free.milli_cpu);
+        *all += u64::from(candidate.processors);
+    }
+    let plenty = |(_, (free, all)): &(&str, (u64, u64))| free * 100 > all * PLENTY_PERCENT;
+    pools.into_iter().filter(plenty).map(|(pool, _)| pool.to_owned()).collect()
 }
--- a/crates/pond-job/tests/starved.rs
+++ b/crates/pond-job/tests/starved.rs
@@ -12,13 +12,13 @@
 //!
 //! What proved it: in the lines of a day on which this happened, the job that stood still had no
 //! place for 30 s with seven to nine of ten workers refusing for harm and none for room, while 46 other
-//! jobs had 234 trials. The first test below fails without trials, the others without their order and
-//! without a bound on the wait for a place.
+//! jobs had 234 trials. All tests below fail without trials, the last one without their order, the others
+//! also with a bound on the places for trials.
 
 mod support;
 
-use pond_proto::job::{How, RunName};
-use support::{Bench, SERVING, filling, serving};
+use pond_proto::job::{How, RunName, Step};
+use support::{Bench, SERVING, filling, serving, step};
 
 /// From when on a job may not stand still while most of the room is free, in milliseconds: what
 /// platforms bear.
@@ -71,7 +71,8 @@
 
 /// The filling runs that have a place.
 fn filling_runs(bench: &Bench) -> Vec<RunName> {
-    bench.state.placed("a").filter(|run| run.task.job != SERVING).collect()
+    let fills = |run: &RunName| (2..1_000).contains(&run.task.job);
+    bench.state.placed("a").filter(fills).collect()
 }
 
 /// What becomes of the filling runs that have a place.
@@ -129,3 +130,21 @@
     }
     assert!(stands_still_ms(&mut bench, 9, Fate::Last) <= BOUND_MS);
 }
+
+#[test]
+fn jobs_take_turns_while_room_is_scarce() {
+    let mut bench = known_as_loud();
+    // Three quarters of the processors are asked for now.
+    bench.submit(2_000, vec![Step { lasting: true, ..step(2, 8_000) }]);
+    pass(&mut bench, CALM);
+    for job in 3..10 {
+        bench.submit_batch(job, vec![filling("loud", 40)]);
+    }
+    let mut waited: Vec<u64> =
+        (3..10).map(|job| stands_still_ms(&mut bench, job, Fate::Done)).collect();
+    waited.sort_unstable();
+    // The patience is over for all at the same time; then there are two places, for a second each.
+    let longest = waited.pop();
+    assert!(longest.is_some_and(|longest| longest <= 20_500), "{longest:?}");
+    assert!(waited.iter().all(|waited| *waited <= 5_000), "{waited:?}");
+}
--- /dev/null
+++ b/crates/pond-job/tests/unsound.rs
@@ -0,0 +1,108 @@
+//! Workers that rest or are being probed take work where no sound one can.
+
+mod support;
+
+use pond_job::Permit;
+use pond_proto::fleet::EndRow;
+use pond_proto::job::{How, RunName, Step};
+use support::{Bench, step, task};
+
+/// What platforms bear, in milliseconds.
+const BOUND_MS: u64 = 3_000;
+
+/// Time between reports, in milliseconds.
+const REPORT_MS: u64 = 500;
+
+fn run(job: u64, number: u32) -> RunName {
+    RunName { task: task(job, 0, 0), number }
+}
+
+/// Time passes at these workers, and their runs get on; the adviser allows worker `a` and no other.
+fn pass(bench: &mut Bench, lives: &[&str]) {
+    bench.now = bench.now + REPORT_MS;
+    for life in lives {
+        bench.obey(life);
+        let vm = bench.vms.get_mut(*life).unwrap();
+        vm.clock_ms += REPORT_MS;
+        vm.runs.values_mut().for_each(|row| row.percent = (row.percent + 1).min(99));
+        bench.report(life);
+    }
+    bench.settle();
+    for question in std::mem::take(&mut bench.asked) {
+        let permits = question.workers.iter().filter(|life| *life == "a");
+        let permit = |life: &String| Permit { worker: life.clone(), ticket: "t".to_owned() };
+        let permits = permits.map(permit).collect();
+        bench.leader.advised(bench.now, &question, Some(permits));
+    }
+    bench.settle();
+}
+
+fn fail(bench: &mut Bench, life: &str, runs: &[RunName]) {
+    let vm = bench.vms.get_mut(life).unwrap();
+    for run in runs {
+        vm.runs.remove(run);
+        let number = vm.ends.len() as u64 + 1;
+        let how = How::Failed as i32;
+        vm.ends.push(EndRow { number, run: *run, how, save: String::new() });
+    }
+    bench.report(life);
+    bench.settle();
+}
+
+/// Two jobs have failed on worker `a`, the only one, so that it rests.
+fn resting() -> Bench {
+    let mut bench = Bench::new().with_vm("a", 32_000);
+    for job in [11, 12] {
+        bench.submit(job, vec![step(1, 1_000)]);
+    }
+    bench.settle();
+    pass(&mut bench, &["a"]);
+    fail(&mut bench, "a", &[run(11, 1), run(12, 1)]);
+    bench.cancel(11);
+    bench.cancel(12);
+    bench
+}
+
+fn waits_ms(bench: &mut Bench, job: u64) -> u64 {
+    let from = bench.now;
+    while bench.now.since(from) < 60_000 && bench.place_of(task(job, 0, 0)).is_none() {
+        pass(bench, &["a", "b"]);
+    }
+    bench.now.since(from)
+}
+
+#[test]
+fn advised_work_is_tried_on_a_probed_worker_if_the_adviser_allows_no_other() {
+    let mut bench = resting();
+    bench.submit(13, vec![Step { estimate_ms: 600_000, ..step(1, 1_000) }]);
+    (0..8).for_each(|_| pass(&mut bench, &["a"]));
+    assert_eq!(bench.place_of(task(13, 0, 0)).as_deref(), Some("a"));
+    bench.add_vm("b", 32_000);
+    bench.submit_advised(14, vec![step(1, 2_000)]);
+    let waited = waits_ms(&mut bench, 14);
+    assert!(waited <= BOUND_MS, "{waited}");
+}
+
+#[test]
+fn work_is_tried_on_a_resting_worker_if_the_sound_ones_have_no_room() {
+    let mut bench = resting();
+    // Each probe fails, so that the rests grow to the longest.
+    for job in [21, 22] {
+        // The rest is over.
+        (0..10).for_each(|_| pass(&mut bench, &["a"]));
+        bench.submit(job, vec![step(1, 1_000)]);
+        while bench.place_of(task(job, 0, 0)).is_none() {
+            pass(&mut bench, &["a"]);
+        }
+        pass(&mut bench, &["a"]);
+        fail(&mut bench, "a", &[run(job, 1)]);
+        bench.cancel(job);
+    }
+    bench.add_vm("b", 4_000);
+    bench.submit(30, vec![Step { lasting: true, ..step(1, 4_000) }]);
+    bench.settle();
+    assert_eq!(bench.place_of(task(30, 0, 0)).as_deref(), Some("b"));
+    bench.submit(31, vec![step(1, 2_000)]);
+    let waited = waits_ms(&mut bench, 31);
+    assert!(waited <= BOUND_MS, "{waited}");
+}
--- a/crates/pond-sched/src/plan.rs
+++ b/crates/pond-sched/src/plan.rs
@@ -34,6 +34,11 @@
 /// A VM is better for a task if the services there stay below this share of their objectives.
 const BETTER_BELOW: f64 = 0.9;
 
+/// A unit that fits nowhere is looked at again after this time even if there is no new room, in
+/// milliseconds: what was in its way may be gone without any, as when the unit that it wants to stand
+/// beside is placed. Each look at it costs as much as a placement.
+const ASIDE_MS: Span = 10_000;
+
 /// Time between looks at what runs beside services, in milliseconds.
 const LADDER_MS: Span = 500;
 
@@ -78,15 +83,23 @@
     pub rate: Option<f64>,
 }
 
+/// When a unit was last found to fit nowhere.
+#[derive(Clone, Copy, Debug)]
+struct Judged {
+    /// The count of room then.
+    room: u64,
+    at: Millis,
+}
+
 /// The scheduler.
 #[derive(Debug)]
 pub struct Scheduler {
     tuning: Tuning,
-    /// The count of room at which a unit was last found to fit nowhere.
+    /// The units that were found to fit nowhere.
     ///
     /// Kept here and not in the state while the reason stays the same, so that units that fit
     /// nowhere cost the log nothing.
-    judged: BTreeMap<UnitName, u64>,
+    judged: BTreeMap<UnitName, Judged>,
     kinds: Kinds,
     infos: Infos,
     harm: Interference,
@@ -408,14 +421,17 @@
         misses.explain(unit)
     }
 
-    /// Whether a unit is to be looked at now: one that fits nowhere only when there is new room.
+    /// Whether a unit is to be looked at now: one that fits nowhere only when there is new room, or after
+    /// a while.
     fn due(&self, state: &State, record: &UnitRecord, now: Millis) -> bool {
         if record.not_before > now {
             return false;
         }
         let Standing::Aside { room } = record.standing else { return true };
-        let judged = self.judged.get(&record.unit.name).copied().unwrap_or(0);
-        self.room(state) > room.max(judged)
+        let Some(judged) = self.judged.get(&record.unit.name) else {
+            return true;
+        };
+        self.room(state) > room.max(judged.room) || now.since(judged.at) >= ASIDE_MS
     }
 
     /// Sets a unit aside; none if the state knows the same reason already.
@@ -427,7 +443,7 @@
         now: Millis,
     ) -> Option<Change> {
         let unit = record.unit.name.clone();
-        self.judged.insert(unit.clone(), self.room(state));
+        self.judged.insert(unit.clone(), Judged { room: self.room(state), at: now });
         let known = matches!(record.standing, Standing::Aside { .. })
             && record.decisions.back().is_some_and(|last| last.why == why);
         let decision = Decision::new(now, Action::SetAside, why);
