Replicas: tests with open connections that swallow bytes for good; one fails

Three replicas behind proxies that swallow the bytes of all open connections have a leader again that is sure of its lead, in each of the three ways: passes.

A replica that cannot be reached yet presents itself, hears nothing (its own bytes go through), dials again and presents itself on the new link; 0.8 s later its former link is lost at the replicas. It is then reachable and must be added: FAILS, not added within 10 s (it never is: it presents itself once a link).

Cause: the loss of an accepted link takes back what the replica with that address and identity said of itself, also when it has said it again on a newer link.

--- /dev/null
+++ b/crates/pond-replica/tests/silence.rs
@@ -0,0 +1,203 @@
+//! Replicas whose open connections fall silent for good, without a reset, while new ones work.
+
+use std::future::{Future, ready};
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use pond_job::{Permit, Question, Terms};
+use pond_link::{Event, EventKind, LinkKey, accept, dial};
+use pond_log::Metrics;
+use pond_proto::Life;
+use pond_proto::quorum::{Body as Letter, Letter as QuorumLetter, Member, Present};
+use pond_proto::wire::{Body, Role};
+use pond_replica::{Adviser, Handle, Replica, Settings};
+use pond_store::{Memory, Store};
+use pond_test::{SwallowProxy, Swallowed};
+use pond_uplink::{BEAT, SILENCE};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::time::{sleep, timeout};
+
+/// Within this time replicas must be linked again and have a leader: two silences of 0.8 s and an
+/// election of up to 1 s; the rest is for a busy machine.
+const BOUND: Duration = Duration::from_secs(10);
+
+/// Time in which both ends of a link notice that one of them is not heard: the other end is silent
+/// itself from then on.
+const NOTICED: Duration = SILENCE.saturating_mul(3);
+
+/// Time between looks for a leader.
+const LOOK: Duration = Duration::from_millis(50);
+
+const REPLICAS: usize = 3;
+
+/// The identity of a replica that comes later.
+const NEWCOMER: u64 = 4;
+
+struct Nobody;
+
+impl Adviser for Nobody {
+    fn advise(
+        &self,
+        _: Question,
+    ) -> Pin<Box<dyn Future<Output = Option<Vec<Permit>>> + Send + '_>> {
+        Box::pin(ready(None))
+    }
+}
+
+/// Starts a replica that the others reach at `internal`.
+fn start(internal: SocketAddr, seeds: &[SocketAddr], listener: TcpListener) -> Handle {
+    let settings = Settings {
+        internal,
+        seeds: seeds.iter().map(SocketAddr::to_string).collect(),
+        first_start: true,
+        data_centre: "here".to_owned(),
+        terms: Terms { hold_ms: 1_000, drift_permille: 25, slack_ms: 250, keep_ms: 1_000 },
+    };
+    let files = Store::open(Box::new(Memory::new())).expect("opens");
+    let (metrics, log) = (Metrics::kept(), pond_log::silent());
+    let adviser = Arc::new(Nobody);
+    let started = Replica::start(settings, files, listener, adviser, Instant::now(), metrics, log);
+    let (replica, handle) = started.expect("it starts");
+    tokio::spawn(replica.run());
+    handle
+}
+
+/// Waits until a replica is sure that it leads.
+async fn leader(handles: &[Handle]) -> usize {
+    let led = async {
+        loop {
+            for (i, handle) in handles.iter().enumerate() {
+                if handle.read().await.is_ok() {
+                    return i;
+                }
+            }
+            sleep(LOOK).await;
+        }
+    };
+    timeout(BOUND, led).await.expect("a leader in time")
+}
+
+async fn listeners() -> (Vec<TcpListener>, Vec<SocketAddr>) {
+    let (mut listeners, mut addresses) = (Vec::new(), Vec::new());
+    for _ in 0..REPLICAS {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("listens");
+        addresses.push(listener.local_addr().expect("an address"));
+        listeners.push(listener);
+    }
+    (listeners, addresses)
+}
+
+/// Replicas, each behind a proxy before its listener. On links to a replica its followers and the
+/// leader send their messages.
+async fn fleet() -> (Vec<SwallowProxy>, Vec<Handle>) {
+    let (listeners, addresses) = listeners().await;
+    let mut proxies = Vec::new();
+    for address in addresses {
+        proxies.push(SwallowProxy::start(address).await);
+    }
+    let seeds: Vec<SocketAddr> = proxies.iter().map(SwallowProxy::address).collect();
+    let started = seeds.iter().zip(listeners);
+    let handles = started.map(|(own, listener)| start(*own, &seeds, listener)).collect();
+    (proxies, handles)
+}
+
+#[tokio::test]
+async fn quorum_whose_links_all_fall_silent_has_a_leader_again() {
+    for swallowed in Swallowed::ALL {
+        let (proxies, handles) = fleet().await;
+        leader(&handles).await;
+        let taken: Vec<usize> = proxies.iter().map(SwallowProxy::taken).collect();
+        proxies.iter().for_each(|proxy| proxy.swallow(swallowed));
+        sleep(NOTICED).await;
+        leader(&handles).await;
+        for (proxy, taken) in proxies.iter().zip(taken) {
+            assert!(proxy.taken() > taken, "{swallowed:?}: nobody dialled again");
+        }
+    }
+}
+
+/// A replica reduced to its links, which presents itself on each that it dials.
+struct Newcomer {
+    address: SocketAddr,
+    dialled: mpsc::Receiver<Event>,
+    senders: Vec<pond_link::Sender>,
+}
+
+impl Newcomer {
+    fn terms(address: SocketAddr) -> Arc<pond_link::Terms> {
+        let terms = pond_link::Terms::new(Role::Control, "newcomer", "here", Life(NEWCOMER));
+        Arc::new(terms.with_address(&address.to_string()).with_times(BEAT, SILENCE))
+    }
+
+    fn start(address: SocketAddr, proxies: &[SwallowProxy]) -> Newcomer {
+        let (events, dialled) = mpsc::channel(64);
+        for (i, proxy) in proxies.iter().enumerate() {
+            let (terms, events) = (Newcomer::terms(address), events.clone());
+            tokio::spawn(dial(proxy.address(), LinkKey(i as u64), terms, events));
+        }
+        Newcomer { address, dialled, senders: Vec::new() }
+    }
+
+    /// Waits until all links are up, and presents itself on each.
+    async fn present(&mut self) {
+        let mut up = 0;
+        while up < REPLICAS {
+            let event = timeout(BOUND, self.dialled.recv()).await.expect("in time");
+            let EventKind::Up { sender, .. } = event.expect("an event").kind else { continue };
+            assert!(sender.send(Body::Quorum(self.presence())));
+            self.senders.push(sender);
+            up += 1;
+        }
+    }
+
+    fn presence(&self) -> QuorumLetter {
+        let address = self.address.to_string();
+        let member = Member { id: NEWCOMER, name: address.clone(), address, voter: true };
+        let present = Letter::Present(Present { member, formed: false, last_index: 0 });
+        QuorumLetter { from: NEWCOMER, to: 0, term: 0, body: Some(present) }
+    }
+}
+
+/// Waits for a letter that only a member gets.
+async fn becomes_member(listener: TcpListener, address: SocketAddr) {
+    let (events, mut accepted) = mpsc::channel(64);
+    tokio::spawn(accept(listener, Newcomer::terms(address), events));
+    let mut senders = Vec::new();
+    loop {
+        match accepted.recv().await.expect("an event").kind {
+            EventKind::Up { sender, .. } => senders.push(sender),
+            EventKind::Frame(Body::Quorum(letter)) => {
+                if !matches!(letter.body, Some(Letter::Present(_)) | None) {
+                    return;
+                }
+            }
+            EventKind::Frame(_) | EventKind::Down(_) => {}
+        }
+    }
+}
+
+#[tokio::test]
+async fn newcomer_that_presented_itself_again_is_added_though_its_former_link_is_lost_later() {
+    let (listeners, seeds) = listeners().await;
+    let started = seeds.iter().zip(listeners);
+    let handles: Vec<Handle> =
+        started.map(|(own, listener)| start(*own, &seeds, listener)).collect();
+    leader(&handles).await;
+    let mut proxies = Vec::new();
+    for address in &seeds {
+        proxies.push(SwallowProxy::start(*address).await);
+    }
+    // It cannot be reached before it accepts, so it is not added before.
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("listens");
+    let address = listener.local_addr().expect("an address");
+    let mut newcomer = Newcomer::start(address, &proxies);
+    newcomer.present().await;
+    // It hears nothing, so it dials again before the replicas hear nothing of it.
+    proxies.iter().for_each(|proxy| proxy.swallow(Swallowed::Answered));
+    newcomer.present().await;
+    sleep(NOTICED).await;
+    timeout(BOUND, becomes_member(listener, address)).await.expect("it is added in time");
+}
