A replica stays known when only its former link is lost

Cause: where a connection falls silent, the end that dialled may notice up to 0.8 s before the other one and present itself on a new link; the later loss of the former link then took back what it had said. It presents itself once a link, so a replica that could not be reached at that moment was never added, and a quorum that was being formed missed it, until its link was lost once more.

Change: the loss of a link takes nothing back while the same replica has presented itself on another link that is up. Ruled out: to key what is known by the link in Formation, which changes its border and a dozen tests for the same effect.

--- a/crates/pond-replica/src/peers.rs
+++ b/crates/pond-replica/src/peers.rs
@@ -146,7 +146,10 @@
     fn link_down(&mut self, now: Millis, link: LinkKey, error: &pond_link::Error) {
         if link.accepted() {
             let presented = self.guests.remove(&link).and_then(|guest| guest.presented);
-            if let Some((address, id)) = presented {
+            // The other end may have noticed the loss first and have presented itself on a newer
+            // link; if that were forgotten, it would never be added, as it does so once a link.
+            let again = self.guests.values().any(|guest| guest.presented == presented);
+            if let Some((address, id)) = presented.filter(|_| !again) {
                 self.formation.link_lost(&address, id);
             }
             if let Some(leader) = &mut self.leader {
