Server: the slow caller's test fails at an early end instead of reading on for good

A read of 0 bytes made the test loop without an end (seen in a trial that cut the caller off: the run hung for ten minutes). It now asserts that there is more.

--- a/crates/pond-http/tests/stalled.rs
+++ b/crates/pond-http/tests/stalled.rs
@@ -104,6 +104,8 @@
     let mut buffer = vec![0; 8 << 20];
     while read < LARGE {
         tokio::time::sleep(READ / 2).await;
-        read += stream.read(&mut buffer).await.expect("reads");
+        let more = stream.read(&mut buffer).await.expect("reads");
+        assert!(more > 0, "cut off after {read} bytes");
+        read += more;
     }
 }
