--- a/crates/pond-link/tests/silence.rs
+++ b/crates/pond-link/tests/silence.rs
@@ -67,8 +67,10 @@
                 EventKind::Down(error) => panic!("the new one is lost: {error}"),
                 EventKind::Frame(_) => assert_eq!(link, old),
             }
-            if self.up.is_some() && lost.is_some() {
-                return lost.expect("it is lost");
+            if self.up.is_some()
+                && let Some(lost) = lost.take()
+            {
+                return lost;
             }
         }
     }
