--- a/crates/pond-job/src/lead/overdue.rs
+++ b/crates/pond-job/src/lead/overdue.rs
@@ -46,8 +46,8 @@
 
 /// A job waits this long while room is scarce, in milliseconds: then waiting is the rule and a trial
 /// takes from others. Jobs take turns; with more of them than places each waits in proportion. Of one
-/// that stands still for as long, tasks that failed before are tried on workers that rest if all do: twice
-/// the longest rest, as a failure costs one of the attempts.
+/// that stands still for as long, also tasks that failed before are tried on workers that rest, where no
+/// sound one can take them: twice the longest rest, as a failure costs one of the attempts.
 const LONG_PATIENCE_MS: Span = 20_000;
 
 /// Why a worker is not taken for sound.
