Server: a caller that takes nothing of its answer for 6.5 s loses its place

Cause: nothing limited writing an answer. A caller that took nothing kept its place for good, and a stop waited for it until the process's own time-out.

Ruled out: a time-out on the whole answer, which cuts off callers that are only slow (the existing test of a large answer taken slowly). The bound on the send buffer set on the listener: connections made before the server task first ran did not inherit it (measured: the new test failed with the same byte count as without).

Change: the stream under hyper fails a write that makes no progress for 6.5 s, as long as the system takes over five retransmissions. What the system holds for a connection is bounded to 64 KiB, so that progress shows early: without the bound a caller that takes 50 kB a second and holds 64 KiB itself was cut off after 3.9 MB of 64 MB.

--- a/crates/pond-http/src/lib.rs
+++ b/crates/pond-http/src/lib.rs
@@ -9,6 +9,7 @@
 mod error;
 mod json;
 mod server;
+mod stall;
 
 pub use bytes::Bytes;
 pub use call::{Call, Reply};
--- a/crates/pond-http/src/server.rs
+++ b/crates/pond-http/src/server.rs
@@ -18,6 +18,7 @@
 use tokio::sync::{AcquireError, OwnedSemaphorePermit, Semaphore, watch};
 use tokio::time::timeout;
 
+use crate::stall::Stream;
 use crate::{Call, Reply};
 
 /// How long idle connections are kept after a stop.
@@ -108,7 +109,8 @@
     }
 }
 
-/// Serves until `stop`, then until every request that had arrived is answered.
+/// Serves until `stop`, then until every request that had arrived is answered, or its caller has
+/// taken nothing of the answer for some seconds.
 pub async fn serve(listener: TcpListener, limits: Limits, stop: Stop, handler: Arc<dyn Handler>) {
     let room = Arc::new(Semaphore::new(limits.connections));
     let closing = Arc::new(AtomicBool::new(false));
@@ -187,7 +189,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.read)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(Stream::new(stream)), service);
     tokio::pin!(connection);
     // An idle connection is not shut at once: a request may be on its way on it. While the server
     // stops, each answer asks the caller to close.
--- a/crates/pond-http/tests/stalled.rs
+++ b/crates/pond-http/tests/stalled.rs
@@ -4,12 +4,12 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use pond_http::{Call, Client, Handler, Limits, Method, Reply, StatusCode, Stop, serve};
 use pond_test::{SwallowProxy, Swallowed};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
@@ -23,6 +23,15 @@
 /// Larger than what the system takes in for a connection on loopback.
 const LARGE: usize = 64 << 20;
 
+/// What a slow caller takes at a time, in bytes, and how often: 50 kB a second. The system tells the
+/// server of it in steps of 64 kB on loopback, one in 1.3 s.
+const FEW: usize = 1024;
+const OFTEN: Duration = Duration::from_millis(20);
+
+/// Bytes that the system holds for a slow caller to take. With megabytes it would tell the server
+/// of progress only when a sixteenth of them has been taken.
+const HELD: u32 = 64 << 10;
+
 /// Places for connections.
 const PLACES: usize = 4;
 
@@ -109,3 +118,25 @@
         read += more;
     }
 }
+
+#[tokio::test]
+async fn caller_that_takes_a_few_bytes_at_a_time_may_be_slow_for_longer_than_a_stalled_one() {
+    let (address, _, _) = server().await;
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(HELD).expect("a bound");
+    let mut stream = socket.connect(address).await.expect("connects");
+    stream.write_all(b"GET /large HTTP/1.1\r\nhost: a\r\n\r\n").await.expect("writes");
+    let begun = Instant::now();
+    let mut buffer = vec![0; 8 << 20];
+    let mut read = 0;
+    while begun.elapsed() < BOUND {
+        tokio::time::sleep(OFTEN).await;
+        read += stream.read_exact(&mut buffer[..FEW]).await.expect("reads");
+    }
+    // What the system held for it would have come after a cut, too; the rest would not.
+    while read < LARGE {
+        let more = stream.read(&mut buffer).await.expect("reads");
+        assert!(more > 0, "cut off after {read} bytes");
+        read += more;
+    }
+}
