Uplink: several replicas are asked at once for the leader, and stay linked until one tells

Cause: a process that lost its leader walked the replicas one at a time, up to 0.6 s at each that knew no leader, 0.8 s at each that was cut off, and up to 0.3 s between.

Ruled out: dialling more often (a process that finds nobody made 26 dials a second with a wait of 60 ms); six links instead of four at once (no process linked sooner); dialling the lost leader first (the others name it within milliseconds if only the link broke).

Change: a pure core, Search, asks three replicas at once, one more after 60 ms, then more and more slowly; links to those that do not lead stay until one tells of a leader, which each does as soon as it hears of it. Members of the quorum are asked before other addresses, those that could not be reached last. Replicas tell the members instead of all addresses they ever knew.

--- a/crates/pond-agent/src/agent.rs
+++ b/crates/pond-agent/src/agent.rs
@@ -17,8 +17,7 @@
 /// Inputs that may wait for the core: one worker gives a few a second, and one for each call.
 const QUEUE: usize = 1024;
 
-/// Longest time between looks at the uplink, in milliseconds: well below the time that a replica
-/// without a leader is given.
+/// Longest time between looks at what is due, in milliseconds.
 const TICK_MS: u64 = 250;
 
 /// Something that happens to an agent.
@@ -87,11 +86,11 @@
     pub async fn run(mut self) {
         loop {
             let now = self.now();
-            if let Some(told) = self.uplink.tick(now) {
-                self.told(now, told);
-            }
+            self.uplink.tick(now);
             self.carry_out(now);
-            let wait = self.core.due(now).since(now).clamp(1, TICK_MS);
+            let due =
+                self.uplink.due().map_or(self.core.due(now), |due| due.min(self.core.due(now)));
+            let wait = due.since(now).clamp(1, TICK_MS);
             let timer = sleep_until(Timer::now() + Duration::from_millis(wait));
             tokio::select! {
                 Some(event) = self.links.recv() => self.link(event),
--- a/crates/pond-intake/src/intake.rs
+++ b/crates/pond-intake/src/intake.rs
@@ -19,8 +19,7 @@
 /// Inputs that may wait for the desk: twice the requests that the desk itself lets wait.
 const QUEUE: usize = 4096;
 
-/// Longest time between looks at the uplink, in milliseconds: well below the time that a replica
-/// without a leader is given.
+/// Longest time between looks at what is due, in milliseconds.
 const TICK_MS: u64 = 250;
 
 /// An entry stays ready for this long without a leader, in milliseconds: an election is no reason
@@ -111,12 +110,11 @@
     pub async fn run(mut self) {
         loop {
             let now = self.now();
-            if let Some(told) = self.uplink.tick(now) {
-                self.told(now, told);
-            }
+            self.uplink.tick(now);
             self.carry_out(now);
             self.judge_ready(now);
-            let due = self.desk.due().map_or(TICK_MS, |due| due.since(now));
+            let due = self.desk.due().into_iter().chain(self.uplink.due()).min();
+            let due = due.map_or(TICK_MS, |due| due.since(now));
             tokio::select! {
                 Some(event) = self.links.recv() => self.link(event),
                 input = self.inputs.recv() => match input {
--- a/crates/pond-replica/src/lead.rs
+++ b/crates/pond-replica/src/lead.rs
@@ -103,12 +103,21 @@
         }
     }
 
+    /// The addresses of the members; of all replicas that are known while there is no quorum yet.
+    fn replicas(&self) -> Vec<String> {
+        let members = &self.core.members().list;
+        if members.is_empty() {
+            return self.peers.known();
+        }
+        members.iter().map(|member| member.address.clone()).collect()
+    }
+
     /// Tells all who are linked who leads, when that changes.
     pub(crate) fn tell_who_leads(&mut self, now: Millis) {
         let leader = self.core.leader().map(|leader| leader.address.clone());
         let lead = Lead {
             leader: leader.unwrap_or_default(),
-            replicas: self.peers.known(),
+            replicas: self.replicas(),
             term: self.core.term(),
             leads: self.certain(now) && self.stopping.is_none(),
             configured: self.state.configuration().is_some(),
--- /dev/null
+++ b/crates/pond-uplink/src/search.rs
@@ -0,0 +1,291 @@
+//! The search for the replica that leads: whom to ask, when, how many at once, and what to believe.
+//!
+//! Replicas that do not lead are asked too, and stay linked while the search goes on: each of them
+//! tells at once when it hears of a leader, so a new leader is found within some round trips of its
+//! election. Several are asked at once, as those that were cut off with the former leader know
+//! nothing.
+//!
+//! Pure: time and events go in, dials and closes come out.
+
+use std::collections::BTreeMap;
+
+use pond_link::LinkKey;
+use pond_proto::fleet::Lead;
+use pond_proto::{Millis, Span};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+/// Replicas that are asked at once when a leader is lost: with any minority cut off, three drawn
+/// at random are all in it less than one time in eight.
+const AT_ONCE: usize = 3;
+
+/// Links that are held while there is no leader. One more than are asked at once, so that another
+/// replica can be asked while these hang; with six, no process was linked sooner.
+const MOST: usize = 4;
+
+/// The first wait before one more replica is asked, in milliseconds: a dial and the answer take a
+/// few, so whoever has not answered by then is slow, cut off or gone.
+const FIRST_WAIT_MS: Span = 60;
+
+/// The longest wait before one more replica is asked, in milliseconds. It bounds the dials of a
+/// process that finds nobody to five a second.
+const LONGEST_WAIT_MS: Span = 400;
+
+/// A link that has led to no leader for this long makes room for another replica, in milliseconds:
+/// about an election.
+const LEADERLESS_MS: Span = 600;
+
+/// A replica that others name is not dialled again within this time, in milliseconds: what they say may
+/// be old, and it was asked already.
+const NAMED_AGAIN_MS: Span = 250;
+
+/// What the owner of the links does.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Open a link.
+    Dial {
+        /// Its key.
+        link: LinkKey,
+        /// The replica's address.
+        address: String,
+    },
+    /// Close a link, or give up to open it.
+    Close(LinkKey),
+}
+
+/// A replica that may be asked.
+#[derive(Debug)]
+struct Replica {
+    address: String,
+    /// When it was last dialled.
+    dialled: Option<Millis>,
+    /// The last dial came to nothing.
+    failed: bool,
+    /// The last word on the lead named it among the replicas.
+    listed: bool,
+}
+
+impl Replica {
+    /// Who is asked first: replicas that others name as such, then any other address, then those
+    /// that could not be reached when they were last asked; among equals the one that was not asked
+    /// for longest.
+    fn rank(&self) -> (bool, bool, Option<Millis>) {
+        (self.failed, !self.failed && !self.listed, self.dialled)
+    }
+}
+
+/// A link that is open or being opened.
+#[derive(Debug)]
+struct Try {
+    /// The place among the replicas.
+    replica: usize,
+    since: Millis,
+    up: bool,
+}
+
+/// The search.
+#[derive(Debug)]
+pub struct Search {
+    replicas: Vec<Replica>,
+    tries: BTreeMap<LinkKey, Try>,
+    leader: Option<LinkKey>,
+    newest: LinkKey,
+    /// When one more replica is asked.
+    due: Millis,
+    wait_ms: Span,
+    rng: SmallRng,
+    outputs: Vec<Output>,
+}
+
+impl Search {
+    /// Starts to look. The seed spreads the processes over the replicas.
+    pub fn new(addresses: Vec<String>, seed: u64, now: Millis) -> Search {
+        let mut search = Search {
+            replicas: Vec::new(),
+            tries: BTreeMap::new(),
+            leader: None,
+            newest: LinkKey(0),
+            due: now,
+            wait_ms: FIRST_WAIT_MS,
+            rng: SmallRng::seed_from_u64(seed),
+            outputs: Vec::new(),
+        };
+        search.learn(&addresses);
+        search.ask_some(now);
+        search
+    }
+
+    /// The link to the leader.
+    pub fn leader(&self) -> Option<LinkKey> {
+        self.leader
+    }
+
+    /// The address of the replica at the other end of a link.
+    pub fn address(&self, link: LinkKey) -> &str {
+        self.tries.get(&link).map_or("", |found| &self.replicas[found.replica].address)
+    }
+
+    /// Further addresses of replicas.
+    pub fn learn(&mut self, addresses: &[String]) {
+        for address in addresses {
+            if !self.replicas.iter().any(|known| known.address == *address) {
+                let address = address.clone();
+                let new = Replica { address, dialled: None, failed: false, listed: false };
+                self.replicas.push(new);
+            }
+        }
+    }
+
+    /// Another replica says which ones there are.
+    fn list(&mut self, addresses: &[String]) {
+        self.learn(addresses);
+        for replica in &mut self.replicas {
+            replica.listed = addresses.contains(&replica.address);
+        }
+    }
+
+    /// A link is open.
+    pub fn up(&mut self, now: Millis, link: LinkKey) {
+        if let Some(found) = self.tries.get_mut(&link) {
+            found.up = true;
+            found.since = now;
+            self.replicas[found.replica].failed = false;
+        }
+    }
+
+    /// A link is lost or could not be opened. If only the link to the leader is lost, the others
+    /// still name it, so it is asked again within some milliseconds.
+    pub fn down(&mut self, now: Millis, link: LinkKey) {
+        let Some(lost) = self.tries.remove(&link) else { return };
+        self.replicas[lost.replica].failed = !lost.up;
+        self.outputs.push(Output::Close(link));
+        if self.leader == Some(link) {
+            self.leader = None;
+            self.ask_some(now);
+        }
+    }
+
+    /// What a replica says of the lead.
+    pub fn told(&mut self, now: Millis, link: LinkKey, lead: &Lead) {
+        if !self.tries.contains_key(&link) {
+            return;
+        }
+        self.list(&lead.replicas);
+        if lead.leads {
+            self.follow(link);
+            return;
+        }
+        if self.leader == Some(link) {
+            self.leader = None;
+            self.ask_some(now);
+        }
+        if self.leader.is_none() && !lead.leader.is_empty() {
+            self.ask_named(now, &lead.leader);
+        }
+    }
+
+    /// Asks one more replica when it is time.
+    pub fn tick(&mut self, now: Millis) {
+        if self.leader.is_some() || now < self.due {
+            return;
+        }
+        self.ask_next(now);
+        self.wait(now);
+    }
+
+    /// When [`Search::tick`] has something to do.
+    pub fn due(&self) -> Option<Millis> {
+        self.leader.is_none().then_some(self.due)
+    }
+
+    /// What must be done, in order.
+    pub fn outputs(&mut self) -> Vec<Output> {
+        std::mem::take(&mut self.outputs)
+    }
+
+    fn follow(&mut self, leader: LinkKey) {
+        self.leader = Some(leader);
+        let others: Vec<LinkKey> =
+            self.tries.keys().copied().filter(|link| *link != leader).collect();
+        for link in others {
+            self.close(link);
+        }
+    }
+
+    fn ask_some(&mut self, now: Millis) {
+        self.wait_ms = FIRST_WAIT_MS;
+        while self.tries.len() < AT_ONCE && self.ask_next(now) {}
+        self.wait(now);
+    }
+
+    /// Sets when one more is asked. Processes that lost the same leader spread out.
+    fn wait(&mut self, now: Millis) {
+        self.due = now + self.rng.random_range(self.wait_ms / 2..=self.wait_ms);
+        self.wait_ms = (self.wait_ms * 2).min(LONGEST_WAIT_MS);
+    }
+
+    /// Asks the replica that comes first, one of several by chance; false if there is none to ask or no
+    /// room.
+    fn ask_next(&mut self, now: Millis) -> bool {
+        let asked = |place: &usize| self.tries.values().any(|found| found.replica == *place);
+        let free: Vec<usize> = (0..self.replicas.len()).filter(|place| !asked(place)).collect();
+        let Some(first) = free.iter().map(|place| self.replicas[*place].rank()).min() else {
+            return false;
+        };
+        let alike: Vec<usize> =
+            free.into_iter().filter(|place| self.replicas[*place].rank() == first).collect();
+        if !self.make_room(now) {
+            return false;
+        }
+        let place = alike[self.rng.random_range(0..alike.len())];
+        self.dial(now, place);
+        true
+    }
+
+    /// Asks the replica that another one takes for the leader.
+    fn ask_named(&mut self, now: Millis, address: &str) {
+        self.learn(&[address.to_owned()]);
+        let named = self.replicas.iter().position(|known| known.address == address);
+        let Some(place) = named else { return };
+        let asked = self.tries.values().any(|found| found.replica == place);
+        let recent = self.replicas[place].dialled;
+        if asked || recent.is_some_and(|recent| now.since(recent) < NAMED_AGAIN_MS) {
+            return;
+        }
+        if self.tries.len() >= MOST {
+            self.close_oldest(now, 0);
+        }
+        self.dial(now, place);
+    }
+
+    /// Whether one more link may be held, if need be in the place of one that leads nowhere.
+    fn make_room(&mut self, now: Millis) -> bool {
+        self.tries.len() < MOST || self.close_oldest(now, LEADERLESS_MS)
+    }
+
+    /// Closes the oldest link that could not be opened yet, or else the oldest that has led to no
+    /// leader for that long.
+    fn close_oldest(&mut self, now: Millis, leaderless_ms: Span) -> bool {
+        let useless = |found: &Try| !found.up || now.since(found.since) >= leaderless_ms;
+        let found = self.tries.iter().filter(|(_, found)| useless(found));
+        let oldest = found.min_by_key(|(_, found)| (found.up, found.since)).map(|(link, _)| *link);
+        let Some(oldest) = oldest else { return false };
+        let replica = &mut self.replicas[self.tries[&oldest].replica];
+        replica.failed = !self.tries[&oldest].up;
+        self.close(oldest)
+    }
+
+    fn close(&mut self, link: LinkKey) -> bool {
+        self.outputs.push(Output::Close(link));
+        self.tries.remove(&link).is_some()
+    }
+
+    fn dial(&mut self, now: Millis, replica: usize) {
+        self.newest = LinkKey(self.newest.0 + 1);
+        let link = self.newest;
+        self.replicas[replica].dialled = Some(now);
+        self.tries.insert(link, Try { replica, since: now, up: false });
+        let address = self.replicas[replica].address.clone();
+        self.outputs.push(Output::Dial { link, address });
+    }
+}
--- a/crates/pond-uplink/tests/silence.rs
+++ b/crates/pond-uplink/tests/silence.rs
@@ -90,9 +90,7 @@
 
     async fn told(&mut self) -> Told {
         loop {
-            if let Some(told) = self.uplink.tick(self.now()) {
-                return told;
-            }
+            self.uplink.tick(self.now());
             let event = tokio::select! {
                 event = self.links.recv() => event.expect("an event"),
                 () = sleep(TICK) => continue,
