Uplink: a dial to a named leader is not given up for the next question; the highest term is believed

Logs of every dial and answer: the link to the named leader was closed within milliseconds, to make room for one more question that came due; and links to replicas of the majority were closed before those that still told of the former term.

Test: dial_to_the_new_leader_is_not_given_up_for_the_next_question fails without the change.

--- a/crates/pond-uplink/src/search.rs
+++ b/crates/pond-uplink/src/search.rs
@@ -19,9 +19,9 @@
 /// at random are all in it less than one time in eight.
 const AT_ONCE: usize = 3;
 
-/// Links that are held while there is no leader. One more than are asked at once, so that another
-/// replica can be asked while these hang; with six, no process was linked sooner.
-const MOST: usize = 4;
+/// Links that are held while there is no leader: those that are asked at once, one to a leader that
+/// leads no more, and one so that another replica can be asked while these hang.
+const MOST: usize = AT_ONCE + 2;
 
 /// The first wait before one more replica is asked, in milliseconds: a dial and the answer take a
 /// few, so whoever has not answered by then is slow, cut off or gone.
@@ -81,6 +81,8 @@
     replica: usize,
     since: Millis,
     up: bool,
+    /// The term that the replica told last.
+    term: u64,
 }
 
 /// The search.
@@ -89,6 +91,10 @@
     replicas: Vec<Replica>,
     tries: BTreeMap<LinkKey, Try>,
     leader: Option<LinkKey>,
+    /// The highest term that any replica told of.
+    term: u64,
+    /// The place of the replica that leads in that term, as others say.
+    named: Option<usize>,
     newest: LinkKey,
     /// When one more replica is asked.
     due: Millis,
@@ -104,6 +110,8 @@
             replicas: Vec::new(),
             tries: BTreeMap::new(),
             leader: None,
+            term: 0,
+            named: None,
             newest: LinkKey(0),
             due: now,
             wait_ms: FIRST_WAIT_MS,
@@ -111,7 +119,7 @@
             outputs: Vec::new(),
         };
         search.learn(&addresses);
-        search.ask_some(now);
+        search.ask_some(now, AT_ONCE);
         search
     }
 
@@ -161,26 +169,39 @@
         self.outputs.push(Output::Close(link));
         if self.leader == Some(link) {
             self.leader = None;
-            self.ask_some(now);
+            self.ask_some(now, AT_ONCE);
         }
     }
 
     /// What a replica says of the lead.
     pub fn told(&mut self, now: Millis, link: LinkKey, lead: &Lead) {
-        if !self.tries.contains_key(&link) {
-            return;
-        }
+        let Some(found) = self.tries.get_mut(&link) else { return };
+        found.term = lead.term;
         self.list(&lead.replicas);
+        self.believe(lead);
         if lead.leads {
             self.follow(link);
             return;
         }
         if self.leader == Some(link) {
+            // It may still be the first to tell of the next one, so its link stays.
             self.leader = None;
-            self.ask_some(now);
+            self.ask_some(now, AT_ONCE + 1);
+        }
+        if self.leader.is_none() {
+            self.ask_named(now);
+        }
+    }
+
+    /// The highest term is believed: who is cut off goes on naming a former leader.
+    fn believe(&mut self, lead: &Lead) {
+        if lead.term > self.term {
+            self.term = lead.term;
+            self.named = None;
         }
-        if self.leader.is_none() && !lead.leader.is_empty() {
-            self.ask_named(now, &lead.leader);
+        if lead.term == self.term && !lead.leader.is_empty() {
+            self.learn(std::slice::from_ref(&lead.leader));
+            self.named = self.replicas.iter().position(|known| known.address == lead.leader);
         }
     }
 
@@ -189,7 +210,9 @@
         if self.leader.is_some() || now < self.due {
             return;
         }
-        self.ask_next(now);
+        if !self.ask_named(now) {
+            self.ask_next(now);
+        }
         self.wait(now);
     }
 
@@ -212,9 +235,10 @@
         }
     }
 
-    fn ask_some(&mut self, now: Millis) {
+    /// Asks replicas until so many links are held.
+    fn ask_some(&mut self, now: Millis, links: usize) {
         self.wait_ms = FIRST_WAIT_MS;
-        while self.tries.len() < AT_ONCE && self.ask_next(now) {}
+        while self.tries.len() < links && self.ask_next(now) {}
         self.wait(now);
     }
 
@@ -242,37 +266,39 @@
         true
     }
 
-    /// Asks the replica that another one takes for the leader.
-    fn ask_named(&mut self, now: Millis, address: &str) {
-        self.learn(&[address.to_owned()]);
-        let named = self.replicas.iter().position(|known| known.address == address);
-        let Some(place) = named else { return };
+    /// Asks the replica that others take for the leader; false if that was done already.
+    fn ask_named(&mut self, now: Millis) -> bool {
+        let Some(place) = self.named else { return false };
         let asked = self.tries.values().any(|found| found.replica == place);
         let recent = self.replicas[place].dialled;
         if asked || recent.is_some_and(|recent| now.since(recent) < NAMED_AGAIN_MS) {
-            return;
+            return false;
         }
         if self.tries.len() >= MOST {
-            self.close_oldest(now, 0);
+            self.close_one(now, 0);
         }
         self.dial(now, place);
+        true
     }
 
     /// Whether one more link may be held, if need be in the place of one that leads nowhere.
     fn make_room(&mut self, now: Millis) -> bool {
-        self.tries.len() < MOST || self.close_oldest(now, LEADERLESS_MS)
+        self.tries.len() < MOST || self.close_one(now, LEADERLESS_MS)
     }
 
-    /// Closes the oldest link that could not be opened yet, or else the oldest that has led to no
-    /// leader for that long.
-    fn close_oldest(&mut self, now: Millis, leaderless_ms: Span) -> bool {
-        let useless = |found: &Try| !found.up || now.since(found.since) >= leaderless_ms;
+    /// Closes a link: one that should be open by now, or else one to a replica that knows less than
+    /// others, or else one that has led to no leader for that long; the oldest of its sort.
+    fn close_one(&mut self, now: Millis, leaderless_ms: Span) -> bool {
+        let useless = |found: &Try| match found.up {
+            false => now.since(found.since) >= FIRST_WAIT_MS,
+            true => found.term < self.term || now.since(found.since) >= leaderless_ms,
+        };
         let found = self.tries.iter().filter(|(_, found)| useless(found));
-        let oldest = found.min_by_key(|(_, found)| (found.up, found.since)).map(|(link, _)| *link);
-        let Some(oldest) = oldest else { return false };
-        let replica = &mut self.replicas[self.tries[&oldest].replica];
-        replica.failed = !self.tries[&oldest].up;
-        self.close(oldest)
+        let first = found.min_by_key(|(_, found)| (found.up, found.term, found.since));
+        let Some(first) = first.map(|(link, _)| *link) else { return false };
+        let replica = &mut self.replicas[self.tries[&first].replica];
+        replica.failed = !self.tries[&first].up;
+        self.close(first)
     }
 
     fn close(&mut self, link: LinkKey) -> bool {
@@ -284,7 +310,7 @@
         self.newest = LinkKey(self.newest.0 + 1);
         let link = self.newest;
         self.replicas[replica].dialled = Some(now);
-        self.tries.insert(link, Try { replica, since: now, up: false });
+        self.tries.insert(link, Try { replica, since: now, up: false, term: 0 });
         let address = self.replicas[replica].address.clone();
         self.outputs.push(Output::Dial { link, address });
     }
--- a/crates/pond-uplink/tests/search.rs
+++ b/crates/pond-uplink/tests/search.rs
@@ -4,12 +4,16 @@
 
 mod world;
 
-use pond_proto::Span;
+use std::collections::BTreeMap;
+
+use pond_proto::fleet::Lead;
+use pond_proto::{Millis, Span};
+use pond_uplink::{Output, Search};
 
 use world::{Linked, Plan, World};
 
 /// Share of the processes that must be linked, in percent.
-const MOST: usize = 90;
+const MOST: usize = 95;
 
 /// Within this time after its election, in milliseconds: what is needed after the loss of a link has
 /// been noticed is a dial and an answer; the rest is for processes whose first questions went to the
@@ -24,7 +28,7 @@
 const DIALS_LATER: usize = 6;
 
 fn holds(plan: Plan) {
-    for seed in 0..4 {
+    for seed in 0..8 {
         let plan = Plan { seed, ..plan };
         let Linked { within, dials, dials_later } = World::new(plan).play(BOUND_MS);
         let most = plan.processes * MOST / 100;
@@ -81,3 +85,52 @@
         holds(Plan { replicas, reset: true, ..Plan::default() });
     }
 }
+
+#[test]
+fn dial_to_the_new_leader_is_not_given_up_for_the_next_question() {
+    let addresses: Vec<String> = (1..=9).map(|host| format!("10.0.0.{host}:80")).collect();
+    for seed in 0..50 {
+        let mut search = Search::new(addresses.clone(), seed, Millis(0));
+        let knows_nobody = Lead { term: 1, ..Lead::default() };
+        let mut now = Millis(0);
+        // All that are asked answer, and none knows a leader.
+        let mut open = BTreeMap::new();
+        let mut dialled = BTreeMap::new();
+        loop {
+            for output in search.outputs() {
+                match output {
+                    Output::Dial { link, address } => {
+                        search.up(now, link);
+                        search.told(now, link, &knows_nobody);
+                        dialled.insert(address.clone(), now);
+                        open.insert(link, address);
+                    }
+                    Output::Close(link) => drop(open.remove(&link)),
+                }
+            }
+            if now >= Millis(1_000) {
+                break;
+            }
+            now = search.due().expect("it looks");
+            search.tick(now);
+        }
+        let held = |address: &&String| open.values().any(|other| other == *address);
+        let mut others = addresses.iter().filter(|address| !held(address));
+        let leader = others
+            .find(|address| dialled.get(*address).is_none_or(|at| now.since(*at) > 250))
+            .expect("another");
+        let teller = open.keys().next().expect("a link");
+        // It hears of the leader just before it would ask one more replica anyway.
+        let due = search.due().expect("it looks");
+        let before = Millis(due.0 - 2).max(now);
+        search.told(before, *teller, &Lead { term: 2, leader: leader.clone(), ..Lead::default() });
+        search.tick(due);
+        let outputs = search.outputs();
+        let dial = outputs.iter().find_map(|output| match output {
+            Output::Dial { link, address } if address == leader => Some(*link),
+            _ => None,
+        });
+        let dial = dial.expect("the leader is dialled");
+        assert!(!outputs.contains(&Output::Close(dial)), "seed {seed}: {outputs:?}");
+    }
+}
--- a/crates/pond-uplink/tests/world/mod.rs
+++ b/crates/pond-uplink/tests/world/mod.rs
@@ -20,7 +20,7 @@
 /// Heartbeats come this often, so silence is counted from up to so long before, in milliseconds.
 const BEAT_MS: Span = 250;
 
-/// An election takes that long and up to twice as long, in milliseconds.
+/// An election takes that long, in milliseconds, and up to four times as long if votes are split.
 const ELECTION_MS: Span = 500;
 
 /// When something happens to the leader, in milliseconds: long after all are linked.
@@ -118,7 +118,7 @@
     pub fn new(plan: Plan) -> World {
         let mut rng = StdRng::seed_from_u64(plan.seed);
         let back = FAULT_MS + plan.down_ms;
-        let election = if plan.reset { 0 } else { rng.random_range(ELECTION_MS..2 * ELECTION_MS) };
+        let election = if plan.reset { 0 } else { rng.random_range(ELECTION_MS..4 * ELECTION_MS) };
         let elected = Millis(back + election);
         let next = match plan {
             Plan { reset: true, .. } => 0,
@@ -212,7 +212,8 @@
         let knows = leader.map_or(String::new(), address);
         let leads = leader == Some(replica) && self.reached(now, replica);
         let replicas = (0..self.plan.replicas).map(address).collect();
-        Lead { leader: knows, replicas, leads, ..Lead::default() }
+        let term = if after { 2 } else { 1 };
+        Lead { leader: knows, replicas, term, leads, ..Lead::default() }
     }
 
     fn cut_off(&self, now: Millis, replica: usize) -> bool {
