Storage: a full disk ends no replica; it abstains until there is room

A process that ends is started anew and finds the same disk.

Ruled out: to keep the lead on the disks of the others (a leader that can keep nothing of its own lasts only as long as all others do); to drop what could not be written (acknowledgements that were promised would be out of order).

Change: Store survives a refusal of every call (append, sync, truncate, rename, remove, folder). What a refused append left is cut now or before the next write. A refused sync leaves the newest batch in doubt: it is cut and written again. The first batch of a segment always carries the hard state, and no older one goes before it does. Writer keeps in order what could not be written and the letters that wait for it. The replica hands over, accepts nothing and says so (313, 314, gauge disk_full). A start that meets a full disk waits too. A disk that fails otherwise still stops the replica.

--- a/crates/pond-log/src/events.rs
+++ b/crates/pond-log/src/events.rs
@@ -98,6 +98,9 @@
     REPLACED = 310, Warning, "a replica came back with another disk and is replaced", "nothing";
     OLDER_DISK = 311, Error, "a replica came back with an older disk and is removed",
         "stop it, move its folder away, start it empty";
+    DISK_FULL = 313, Warning, "the disk is full; the replica neither leads nor votes until it has room",
+        "free space in the data folder's file system";
+    DISK_ROOM = 314, Info, "the disk takes writes again", "nothing";
     MEMBER_ADDED = 312, Info, "a replica joins the quorum", "nothing";
     CHANGE_ACCEPTED = 400, Info, "a change was accepted", "nothing";
     CHANGE_REFUSED = 401, Info, "a change was refused", "nothing: the sender was told why";
--- a/crates/pond-quorum/tests/schedule.rs
+++ b/crates/pond-quorum/tests/schedule.rs
@@ -50,6 +50,23 @@
         check(Cluster::new(3, seed, faults), 3000);
     }
 
+    #[test]
+    fn full_disks_beside_everything_else_lose_nothing(seed in any::<u64>()) {
+        check(Cluster::new(3, seed, Faults { full: 50, ..Faults::all() }), 3000);
+    }
+
+    #[test]
+    fn full_disks_alone_lose_nothing(seed in any::<u64>()) {
+        let faults = Faults { full: 400, snapshot_every: 20, ..Faults::none() };
+        check(Cluster::new(3, seed, faults), 3000);
+    }
+
+    #[test]
+    fn full_disks_and_crashes_lose_nothing(seed in any::<u64>()) {
+        let faults = Faults { full: 400, crash: 200, snapshot_every: 20, ..Faults::none() };
+        check(Cluster::new(5, seed, faults), 3000);
+    }
+
     #[test]
     fn cuts_alone_lose_nothing(seed in any::<u64>()) {
         let faults = Faults { cut: 1000, drift: 40, ..Faults::none() };
@@ -97,6 +114,48 @@
     }
 }
 
+#[test]
+fn another_replica_leads_while_the_leaders_disk_is_full_and_all_agree_once_it_has_room() {
+    for seed in 1..=50 {
+        let (mut cluster, leader) = settled_under(seed);
+        cluster.fill(leader, 5_000);
+        cluster.propose(leader);
+        cluster.run(600);
+        let next = cluster.leader().expect("another leader");
+        assert_ne!(next, leader, "seed {seed}");
+        cluster.propose(next);
+        cluster.run(100);
+        assert!(cluster.accepted() >= 11, "seed {seed}: {:?}", cluster.wrong);
+        cluster.settle();
+        assert_eq!(cluster.wrong, None, "seed {seed}");
+    }
+}
+
+#[test]
+fn full_disks_disturb_no_leader() {
+    for seed in 1..=100 {
+        let mut cluster = Cluster::new(5, seed, Faults::none());
+        cluster.run(1500);
+        let former = cluster.leader().expect("a leader");
+        let follower = (1..=5).find(|id| *id != former).expect("a follower");
+        cluster.fill(follower, 6_000);
+        cluster.crash(former, 5_000);
+        // Elections may be split a few times.
+        cluster.run(2_000);
+        let leader = cluster.leader().expect("another leader");
+        let term = cluster.core(leader).map(|core| core.term());
+        let before = cluster.accepted();
+        for _ in 0..20 {
+            cluster.propose(leader);
+            cluster.run(100);
+        }
+        assert_eq!(cluster.core(leader).map(|core| core.term()), term, "seed {seed}");
+        assert_eq!(cluster.accepted(), before + 20, "seed {seed}");
+        cluster.settle();
+        assert_eq!(cluster.wrong, None, "seed {seed}");
+    }
+}
+
 #[test]
 fn an_append_that_was_lost_is_sent_again_though_nothing_follows_it() {
     let (mut cluster, leader) = settled();
--- a/crates/pond-replica/src/lead.rs
+++ b/crates/pond-replica/src/lead.rs
@@ -20,7 +20,7 @@
 impl Replica {
     /// Decides, while this replica leads.
     pub(crate) fn lead(&mut self, now: Millis) {
-        if !self.core.ready() {
+        if !self.core.ready() || self.abstains() {
             return;
         }
         if self.leader.is_none() {
--- a/crates/pond-replica/src/outputs.rs
+++ b/crates/pond-replica/src/outputs.rs
@@ -6,8 +6,9 @@
 use pond_job::{Change, Reply, State};
 use pond_log::event;
 use pond_proto::quorum::{Entry, Kind};
+use pond_proto::{Millis, Span};
 use pond_quorum::{Input, Output, Role, SnapshotImage};
-use pond_store::{Error, Snapshot};
+use pond_store::{Error, Snapshot, Write};
 
 use crate::handle::Elsewhere;
 use crate::replica::Replica;
@@ -17,60 +18,121 @@
 /// the figure of pond-control, as starts and ends come many to an entry here.
 const SNAPSHOT_EVERY: u64 = 4096;
 
+/// How often a full disk is told of while it lasts, in milliseconds.
+const TELL_FULL_MS: Span = 5_000;
+
+/// Inputs of the quorum's replicas are left out while more than this waits for room on the disk: some
+/// seconds of appends. They are sent again.
+const MOST_WAITING: usize = 1_000;
+
 impl Replica {
     /// Carries out all that is to be done, with one sync for all that came together.
     pub(crate) fn carry_out(&mut self) -> Result<(), Error> {
+        if self.writer.full() {
+            self.write()?;
+        }
         loop {
             let outputs = self.core.outputs(self.now());
             if outputs.is_empty() {
                 return Ok(());
             }
-            let persisted = self.persist(&outputs)?;
+            for output in &outputs {
+                self.put(output);
+            }
+            self.write()?;
             for output in outputs {
                 self.output(output)?;
             }
-            if persisted {
-                self.core.step(self.now(), Input::Persisted);
-            }
         }
     }
 
-    /// Sends what need not wait, then writes and syncs what must last.
-    fn persist(&mut self, outputs: &[Output]) -> Result<bool, Error> {
-        for output in outputs {
-            match output {
-                Output::Send(letter) => self.peers.send(letter.clone()),
-                Output::Install { image, keeps_log } => {
-                    let data = image.data.as_ref().clone();
-                    let snapshot = Snapshot { head: image.head.clone(), data };
-                    if *keeps_log {
-                        self.store.save(&snapshot)?;
-                    } else {
-                        self.store.replace(&snapshot)?;
-                    }
-                }
-                _ => {}
+    /// Sends what need not wait, and hands in what must last and what waits for it.
+    fn put(&mut self, output: &Output) {
+        match output {
+            Output::Send(letter) => self.peers.send(letter.clone()),
+            Output::SendDurable(letter) => self.writer.then(letter.clone()),
+            Output::Persist { hard, entries } => {
+                self.writer.put(Write::Batch { hard: *hard, entries: entries.clone() });
             }
-        }
-        let mut wrote = false;
-        for output in outputs {
-            if let Output::Persist { hard, entries } = output {
-                self.store.append(*hard, entries)?;
-                wrote = true;
+            Output::Install { image, keeps_log } => {
+                let data = image.data.as_ref().clone();
+                let snapshot = Snapshot { head: image.head.clone(), data };
+                self.writer.put(Write::Snapshot { snapshot, keeps_log: *keeps_log });
             }
+            _ => {}
         }
+    }
+
+    /// Writes what must last, and does what may follow. A full disk is none of the errors: the
+    /// replica abstains until there is room.
+    fn write(&mut self) -> Result<(), Error> {
+        let was_full = self.writer.full();
         let started = Instant::now();
-        self.store.sync()?;
-        if wrote {
+        let flushed = self.writer.flush()?;
+        for letter in flushed.then {
+            self.peers.send(letter);
+        }
+        if flushed.lasts {
             self.metrics.time_us("sync", started.elapsed().as_micros() as u64);
+            self.core.step(self.now(), Input::Persisted);
+        }
+        match (was_full, self.writer.full()) {
+            (false, false) => {}
+            (false, true) => self.becomes_full(),
+            (true, true) => self.stays_full(),
+            (true, false) => self.has_room(),
+        }
+        Ok(())
+    }
+
+    /// Another replica should lead: this one can accept nothing.
+    fn becomes_full(&mut self) {
+        let now = self.now();
+        self.full_since = Some(now);
+        self.metrics.gauge("disk_full", 1);
+        self.tell_full(now);
+        self.core.step(now, Input::HandOver);
+    }
+
+    fn stays_full(&mut self) {
+        let now = self.now();
+        if self.full_told.is_none_or(|told| now.since(told) >= TELL_FULL_MS) {
+            self.tell_full(now);
         }
-        Ok(wrote)
+    }
+
+    fn tell_full(&mut self, now: Millis) {
+        self.full_told = Some(now);
+        let free = self.writer.store().free_bytes();
+        event!(self.log, DISK_FULL, "waiting" => self.writer.len(),
+            "free_bytes" => free.map_or("unknown".to_owned(), |free| free.to_string()),
+            "for_ms" => self.full_since.map_or(0, |since| now.since(since)));
+    }
+
+    fn has_room(&mut self) {
+        let since = self.full_since.take();
+        self.full_told = None;
+        self.metrics.gauge("disk_full", 0);
+        let now = self.now();
+        event!(self.log, DISK_ROOM, "after_ms" => since.map_or(0, |since| now.since(since)));
+    }
+
+    /// Whether this replica can neither lead nor vote now, as its disk is full.
+    pub(crate) fn abstains(&self) -> bool {
+        self.writer.full()
+    }
+
+    /// Whether messages of the quorum are taken in: not while too much waits for the disk.
+    pub(crate) fn takes_letters(&self) -> bool {
+        !self.writer.full() || self.writer.len() < MOST_WAITING
     }
 
     fn output(&mut self, output: Output) -> Result<(), Error> {
         match output {
-            Output::Persist { .. } | Output::Send(_) | Output::ReadReady { .. } => {}
-            Output::SendDurable(letter) => self.peers.send(letter),
+            Output::Persist { .. }
+            | Output::Send(_)
+            | Output::SendDurable(_)
+            | Output::ReadReady { .. } => {}
             Output::Appended { ticket, index, term } => self.waiting.appended(ticket, index, term),
             Output::Rejected { ticket, .. } => {
                 if let Some(waiter) = self.waiting.rejected(ticket) {
@@ -153,7 +215,11 @@
             }
         };
         let snapshot = Snapshot { head: head.clone(), data };
-        self.store.save(&snapshot)?;
+        // Without room the next one is tried; the log grows meanwhile.
+        if !self.writer.save(&snapshot)? {
+            self.tell_full(self.now());
+            return Ok(());
+        }
         event!(self.log, SNAPSHOT, "index" => index, "bytes" => snapshot.data.len());
         let image = SnapshotImage { head, data: Arc::new(snapshot.data) };
         self.core.step(self.now(), Input::Compact(image));
--- a/crates/pond-replica/src/peers.rs
+++ b/crates/pond-replica/src/peers.rs
@@ -169,7 +169,9 @@
         match body {
             Body::Quorum(letter) => match letter.body {
                 Some(Letter::Present(present)) => self.presented(now, link, present),
-                _ => self.core.step(now, Input::Letter(letter)),
+                _ if self.takes_letters() => self.core.step(now, Input::Letter(letter)),
+                // It is sent again.
+                _ => {}
             },
             Body::Lead(lead) => self.peers.learn(&lead.replicas),
             Body::Ask(ask) => self.ask(now, link, ask),
--- a/crates/pond-replica/src/replica.rs
+++ b/crates/pond-replica/src/replica.rs
@@ -9,10 +9,10 @@
 use pond_link::{Event, LinkKey, Sender};
 use pond_log::{Logger, Metrics, event};
 use pond_proto::fleet::Lead;
-use pond_proto::quorum::{Member, Members};
+use pond_proto::quorum::{Letter, Member, Members};
 use pond_proto::{Millis, Span};
 use pond_quorum::{Core, Input, Role, SnapshotImage, Start, Tuning};
-use pond_store::{Recovered, Snapshot, Store};
+use pond_store::{Recovered, Snapshot, Store, Writer};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
@@ -75,7 +75,12 @@
 /// A replica.
 pub struct Replica {
     pub(crate) settings: Settings,
-    pub(crate) store: Store,
+    /// Writes the durable files; letters wait in it for what must last before them.
+    pub(crate) writer: Writer<Letter>,
+    /// Since when the disk is full.
+    pub(crate) full_since: Option<Millis>,
+    /// When that was last told.
+    pub(crate) full_told: Option<Millis>,
     pub(crate) core: Core,
     pub(crate) state: State,
     /// Entries of the log up to this index are applied.
@@ -126,7 +131,9 @@
         let handle = Handle { requests };
         let replica = Replica {
             settings,
-            store,
+            writer: Writer::new(store),
+            full_since: None,
+            full_told: None,
             core,
             state,
             applied,
@@ -169,7 +176,10 @@
         self.learn_members();
         loop {
             let now = self.now();
-            self.core.step(now, Input::Tick);
+            // A candidate whose vote for itself cannot last can win nothing.
+            if !self.abstains() || self.core.role() == Role::Leader {
+                self.core.step(now, Input::Tick);
+            }
             self.carry_out()?;
             self.lead(now);
             self.carry_out()?;
@@ -219,9 +229,11 @@
         }
     }
 
-    /// Whether this replica leads, and no other can.
+    /// Whether this replica leads, no other can, and its disk takes what it accepts.
     pub(crate) fn certain(&self, now: Millis) -> bool {
-        self.core.ready() && self.core.lease_until().is_some_and(|until| now < until)
+        !self.abstains()
+            && self.core.ready()
+            && self.core.lease_until().is_some_and(|until| now < until)
     }
 
     pub(crate) fn elsewhere(&self) -> Elsewhere {
@@ -231,6 +243,9 @@
 
     /// Proposes a change.
     pub(crate) fn propose(&mut self, now: Millis, change: &Change, waiter: Waiter) {
+        if self.abstains() {
+            return self.reject(waiter);
+        }
         match change.encode() {
             Ok(data) => {
                 let ticket = self.waiting.ticket(waiter);
--- a/crates/pond-replica/tests/silence.rs
+++ b/crates/pond-replica/tests/silence.rs
@@ -1,95 +1,32 @@
 //! Replicas whose open connections fall silent for good, without a reset, while new ones work.
 
-use std::future::{Future, ready};
+mod support;
+
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use pond_job::{Permit, Question, Terms};
 use pond_link::{Event, EventKind, LinkKey, accept, dial};
-use pond_log::Metrics;
 use pond_proto::Life;
 use pond_proto::quorum::{Body as Letter, Letter as QuorumLetter, Member, Present};
 use pond_proto::wire::{Body, Role};
-use pond_replica::{Adviser, Handle, Replica, Settings};
-use pond_store::{Memory, Store};
+use pond_replica::Handle;
+use pond_store::Memory;
 use pond_test::{SwallowProxy, Swallowed};
 use pond_uplink::{BEAT, SILENCE};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
 
-/// Within this time replicas must be linked again and have a leader: two silences of 0.8 s and an
-/// election of up to 1 s; the rest is for a busy machine.
-const BOUND: Duration = Duration::from_secs(10);
+use support::{BOUND, REPLICAS, leader, listeners, start};
 
 /// Time in which both ends of a link notice that one of them is not heard: the other end is silent
 /// itself from then on.
 const NOTICED: Duration = SILENCE.saturating_mul(3);
 
-/// Time between looks for a leader.
-const LOOK: Duration = Duration::from_millis(50);
-
-const REPLICAS: usize = 3;
-
 /// The identity of a replica that comes later.
 const NEWCOMER: u64 = 4;
 
-struct Nobody;
-
-impl Adviser for Nobody {
-    fn advise(
-        &self,
-        _: Question,
-    ) -> Pin<Box<dyn Future<Output = Option<Vec<Permit>>> + Send + '_>> {
-        Box::pin(ready(None))
-    }
-}
-
-/// Starts a replica that the others reach at `internal`.
-fn start(internal: SocketAddr, seeds: &[SocketAddr], listener: TcpListener) -> Handle {
-    let settings = Settings {
-        internal,
-        seeds: seeds.iter().map(SocketAddr::to_string).collect(),
-        first_start: true,
-        data_centre: "here".to_owned(),
-        terms: Terms { hold_ms: 1_000, drift_permille: 25, slack_ms: 250, keep_ms: 1_000 },
-    };
-    let files = Store::open(Box::new(Memory::new())).expect("opens");
-    let (metrics, log) = (Metrics::kept(), pond_log::silent());
-    let adviser = Arc::new(Nobody);
-    let started = Replica::start(settings, files, listener, adviser, Instant::now(), metrics, log);
-    let (replica, handle) = started.expect("it starts");
-    tokio::spawn(replica.run());
-    handle
-}
-
-/// Waits until a replica is sure that it leads.
-async fn leader(handles: &[Handle]) -> usize {
-    let led = async {
-        loop {
-            for (i, handle) in handles.iter().enumerate() {
-                if handle.read().await.is_ok() {
-                    return i;
-                }
-            }
-            sleep(LOOK).await;
-        }
-    };
-    timeout(BOUND, led).await.expect("a leader in time")
-}
-
-async fn listeners() -> (Vec<TcpListener>, Vec<SocketAddr>) {
-    let (mut listeners, mut addresses) = (Vec::new(), Vec::new());
-    for _ in 0..REPLICAS {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("listens");
-        addresses.push(listener.local_addr().expect("an address"));
-        listeners.push(listener);
-    }
-    (listeners, addresses)
-}
-
 /// Replicas, each behind a proxy before its listener. On links to a replica its followers and the
 /// leader send their messages.
 async fn fleet() -> (Vec<SwallowProxy>, Vec<Handle>) {
@@ -100,7 +37,8 @@
     }
     let seeds: Vec<SocketAddr> = proxies.iter().map(SwallowProxy::address).collect();
     let started = seeds.iter().zip(listeners);
-    let handles = started.map(|(own, listener)| start(*own, &seeds, listener)).collect();
+    let handles =
+        started.map(|(own, listener)| start(*own, &seeds, listener, Memory::new())).collect();
     (proxies, handles)
 }
 
@@ -184,7 +122,7 @@
     let (listeners, seeds) = listeners().await;
     let started = seeds.iter().zip(listeners);
     let handles: Vec<Handle> =
-        started.map(|(own, listener)| start(*own, &seeds, listener)).collect();
+        started.map(|(own, listener)| start(*own, &seeds, listener, Memory::new())).collect();
     leader(&handles).await;
     let mut proxies = Vec::new();
     for address in &seeds {
--- a/crates/pond-store/src/disk.rs
+++ b/crates/pond-store/src/disk.rs
@@ -30,4 +30,9 @@
 
     /// Makes new, renamed and removed names last.
     fn sync_names(&mut self) -> io::Result<()>;
+
+    /// Bytes that are free, if that is known.
+    fn free_bytes(&self) -> Option<u64> {
+        None
+    }
 }
--- a/crates/pond-store/src/error.rs
+++ b/crates/pond-store/src/error.rs
@@ -64,7 +64,7 @@
 
 impl Error {
     pub(crate) fn io(file: &str, action: &'static str, source: io::Error) -> Error {
-        if source.kind() == io::ErrorKind::StorageFull {
+        if matches!(source.kind(), io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded) {
             return Error::Full { file: file.to_owned() };
         }
         Error::Io { file: file.to_owned(), action, source }
--- a/crates/pond-store/src/folder.rs
+++ b/crates/pond-store/src/folder.rs
@@ -93,4 +93,8 @@
     fn sync_names(&mut self) -> io::Result<()> {
         File::open(&self.path)?.sync_all()
     }
+
+    fn free_bytes(&self) -> Option<u64> {
+        fs2::available_space(&self.path).ok()
+    }
 }
--- a/crates/pond-store/src/lib.rs
+++ b/crates/pond-store/src/lib.rs
@@ -12,6 +12,7 @@
 mod segment;
 mod snapshot;
 mod store;
+mod writer;
 
 pub use disk::Disk;
 pub use error::Error;
@@ -19,3 +20,4 @@
 pub use memory::{Crash, Memory};
 pub use snapshot::Snapshot;
 pub use store::{Recovered, Store};
+pub use writer::{Flushed, Write, Writer};
--- a/crates/pond-store/src/memory.rs
+++ b/crates/pond-store/src/memory.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::io;
+use std::ops::Range;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use rand::rngs::StdRng;
@@ -23,9 +24,22 @@
     lasting: BTreeMap<String, Stored>,
     capacity: Option<usize>,
     sync_lies: bool,
+    /// Calls that change something, since refusals were last set.
+    changes: u64,
+    /// Which of them are refused as on a full disk.
+    refused: Range<u64>,
 }
 
 impl Inner {
+    /// Counts a call that changes something; an error if it is refused.
+    fn change(&mut self) -> io::Result<()> {
+        self.changes += 1;
+        match self.refused.contains(&(self.changes - 1)) {
+            true => Err(io::ErrorKind::StorageFull.into()),
+            false => Ok(()),
+        }
+    }
+
     /// Keeps or loses each change of a name that was not synced.
     fn scatter_names(&mut self, rng: &mut StdRng) {
         let Inner { files, lasting, .. } = self;
@@ -83,6 +97,19 @@
         self.inner().capacity = bytes;
     }
 
+    /// Refuses calls that change something as a full disk does, by their numbers from now on. A
+    /// refused append leaves half of its bytes, a refused sync loses half of what was not synced.
+    pub fn refuse(&self, calls: Range<u64>) {
+        let mut inner = self.inner();
+        inner.changes = 0;
+        inner.refused = calls;
+    }
+
+    /// Calls that changed something, refused ones included, since refusals were last set.
+    pub fn changes(&self) -> u64 {
+        self.inner().changes
+    }
+
     /// Crashes: unsynced bytes and names are treated as `crash` says.
     pub fn crash(&self, crash: Crash) {
         let mut inner = self.inner();
@@ -146,6 +173,11 @@
 
     fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
         let mut inner = self.inner();
+        if let Err(refused) = inner.change() {
+            let file = inner.files.entry(name.to_owned()).or_default();
+            file.bytes.extend_from_slice(&bytes[..bytes.len() / 2]);
+            return Err(refused);
+        }
         let used: usize = inner.files.values().map(|file| file.bytes.len()).sum();
         let room = inner.capacity.map_or(usize::MAX, |capacity| capacity.saturating_sub(used));
         let taken = bytes.len().min(room);
@@ -159,6 +191,7 @@
 
     fn truncate(&mut self, name: &str, length: u64) -> io::Result<()> {
         let mut inner = self.inner();
+        inner.change()?;
         let file = inner.files.get_mut(name).ok_or_else(|| missing(name))?;
         file.bytes.truncate(length as usize);
         file.synced = file.synced.min(file.bytes.len());
@@ -170,7 +203,12 @@
         if inner.sync_lies {
             return Ok(());
         }
+        let refused = inner.change();
         let file = inner.files.get_mut(name).ok_or_else(|| missing(name))?;
+        if refused.is_err() {
+            file.bytes.truncate(file.synced + (file.bytes.len() - file.synced) / 2);
+            return refused;
+        }
         file.synced = file.bytes.len();
         let copy = file.clone();
         if let Some(lasting) = inner.lasting.get_mut(name) {
@@ -181,13 +219,16 @@
 
     fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
         let mut inner = self.inner();
+        inner.change()?;
         let file = inner.files.remove(from).ok_or_else(|| missing(from))?;
         inner.files.insert(to.to_owned(), file);
         Ok(())
     }
 
     fn remove(&mut self, name: &str) -> io::Result<()> {
-        let removed = self.inner().files.remove(name);
+        let mut inner = self.inner();
+        inner.change()?;
+        let removed = inner.files.remove(name);
         removed.map(|_| ()).ok_or_else(|| missing(name))
     }
 
@@ -196,6 +237,7 @@
         if inner.sync_lies {
             return Ok(());
         }
+        inner.change()?;
         let mut lasting = inner.files.clone();
         for file in lasting.values_mut() {
             file.bytes.truncate(file.synced);
--- a/crates/pond-store/src/store.rs
+++ b/crates/pond-store/src/store.rs
@@ -35,6 +35,13 @@
     bytes: usize,
 }
 
+/// The newest batch while it is not synced: where it begins in the last segment, and its bytes.
+#[derive(Debug)]
+struct Unsynced {
+    at: usize,
+    bytes: Vec<u8>,
+}
+
 /// The durable files of one replica.
 #[derive(Debug)]
 pub struct Store {
@@ -43,7 +50,10 @@
     next_batch: u64,
     hard: Hard,
     broken: bool,
-    unsynced: bool,
+    unsynced: Option<Unsynced>,
+    /// A full disk refused a write or a sync, so what stands behind the last synced batch is not
+    /// known. Nothing more is written before it is cut, and the newest batch written again.
+    in_doubt: bool,
     segment_bytes: usize,
 }
 
@@ -63,7 +73,8 @@
             next_batch: 1,
             hard: Hard::default(),
             broken: false,
-            unsynced: false,
+            unsynced: None,
+            in_doubt: false,
             segment_bytes: SEGMENT_BYTES,
         };
         let floor = snapshot.as_ref().map_or(0, |snapshot| snapshot.head.index);
@@ -121,10 +132,11 @@
         let Some(last) = self.segments.last() else { return Ok(()) };
         if last.bytes == 0 && self.segments.len() > 1 {
             // It was made, and power was lost before the hard state was in it.
-            let hard = Some(self.hard);
-            self.write(&Batch { hard, ..Batch::default() })?;
+            self.write(&Batch::default())?;
+        }
+        if let Some(last) = self.segments.last() {
+            self.unsynced.get_or_insert(Unsynced { at: last.bytes, bytes: Vec::new() });
         }
-        self.unsynced = true;
         self.sync()?;
         self.disk.sync_names().map_err(|source| Error::io("folder", "sync", source))
     }
@@ -158,32 +170,62 @@
     /// Writes a group of entries and the hard state; they last once [`Store::sync`] has returned.
     ///
     /// # Errors
-    /// [`Error::Full`] leaves all that was there before in place; after any other error the store
-    /// refuses further writes.
+    /// [`Error::Full`] leaves all that was there before in place, and the same write can be tried
+    /// again. After any other error the store may refuse further writes.
     pub fn append(&mut self, hard: Option<Hard>, entries: &[Entry]) -> Result<(), Error> {
         let batch = Batch { hard, entries: entries.to_vec(), keep_to: None };
         self.write(&batch)
     }
 
-    /// Writes one batch. The one before it is synced first, see the module `batch`.
+    /// Writes one batch. The one before it is synced first, see the module `batch`. The first one of
+    /// a segment carries the hard state, so that older segments can be removed.
     fn write(&mut self, batch: &Batch) -> Result<(), Error> {
         self.sync()?;
         self.open_segment()?;
-        let bytes = batch::encode(self.next_batch, batch);
         let Some(segment) = self.segments.last_mut() else { return Err(Error::Broken) };
+        let mut batch = batch.clone();
+        if segment.bytes == 0 {
+            batch.hard.get_or_insert(self.hard);
+        }
+        let bytes = batch::encode(self.next_batch, &batch);
         let name = segment::name(segment.first_batch);
         if let Err(source) = self.disk.append(&name, &bytes) {
-            let undone = self.disk.truncate(&name, segment.bytes as u64);
-            self.broken = undone.is_err();
-            return Err(Error::io(&name, "write", source));
+            return Err(self.refused(Error::io(&name, "write", source)));
         }
+        let at = segment.bytes;
         segment.bytes += bytes.len();
         if let Some(last) = batch.entries.last() {
             segment.last_index = segment.last_index.max(last.index);
         }
         self.next_batch += 1;
         self.hard = batch.hard.unwrap_or(self.hard);
-        self.unsynced = true;
+        self.unsynced = Some(Unsynced { at, bytes });
+        Ok(())
+    }
+
+    /// A write was refused: what it left is cut now, or before the next write if that is refused, too.
+    fn refused(&mut self, error: Error) -> Error {
+        self.in_doubt = true;
+        match self.mend() {
+            Ok(()) | Err(Error::Full { .. }) => {}
+            Err(_) => self.broken = true,
+        }
+        error
+    }
+
+    /// Cuts what stands behind the last synced batch if that is in doubt, and writes the newest
+    /// batch again.
+    fn mend(&mut self) -> Result<(), Error> {
+        let Some(segment) = self.segments.last().filter(|_| self.in_doubt) else { return Ok(()) };
+        let name = segment::name(segment.first_batch);
+        let whole = self.unsynced.as_ref().map_or(segment.bytes, |newest| newest.at);
+        let cut = self.disk.truncate(&name, whole as u64);
+        cut.map_err(|source| Error::io(&name, "cut", source))?;
+        if let Some(newest) = &self.unsynced {
+            let again = self.disk.append(&name, &newest.bytes);
+            again.map_err(|source| Error::io(&name, "write again", source))?;
+        }
+        self.in_doubt = false;
         Ok(())
     }
 
@@ -192,39 +234,39 @@
         if !full {
             return Ok(());
         }
-        self.sync()?;
         let name = segment::name(self.next_batch);
         let io = |source| Error::io(&name, "make", source);
         self.disk.append(&name, &[]).map_err(io)?;
         self.disk.sync_names().map_err(io)?;
         self.segments.push(Segment { first_batch: self.next_batch, last_index: 0, bytes: 0 });
-        if self.segments.len() > 1 {
-            // The new segment carries the hard state, so that older ones can be removed.
-            let hard = Some(self.hard);
-            self.write(&Batch { hard, ..Batch::default() })?;
-        }
         Ok(())
     }
 
     /// Makes all that was written last.
     ///
     /// # Errors
-    /// After an error the store refuses further writes, as it is not known what lasted.
+    /// [`Error::Full`] leaves what was written to be synced by a later call. After any other error
+    /// the store refuses further writes, as it is not known what lasted.
     pub fn sync(&mut self) -> Result<(), Error> {
         if self.broken {
             return Err(Error::Broken);
         }
-        if !self.unsynced {
-            return Ok(());
+        let synced = self.mend().and_then(|()| self.sync_newest());
+        match &synced {
+            Ok(()) => self.unsynced = None,
+            // The system may have dropped what it could not keep, and would not say so again.
+            Err(Error::Full { .. }) => self.in_doubt = true,
+            Err(_) => self.broken = true,
         }
-        let Some(segment) = self.segments.last() else { return Ok(()) };
+        synced
+    }
+
+    fn sync_newest(&mut self) -> Result<(), Error> {
+        let Some(segment) = self.segments.last().filter(|_| self.unsynced.is_some()) else {
+            return Ok(());
+        };
         let name = segment::name(segment.first_batch);
-        if let Err(source) = self.disk.sync(&name) {
-            self.broken = true;
-            return Err(Error::io(&name, "sync", source));
-        }
-        self.unsynced = false;
-        Ok(())
+        self.disk.sync(&name).map_err(|source| Error::io(&name, "sync", source))
     }
 
     /// Writes a snapshot, then removes older snapshots and segments that it makes needless.
@@ -255,14 +297,26 @@
                 self.disk.remove(&name).map_err(io)?;
             }
         }
-        while self.segments.len() > 1 && self.segments[0].last_index <= index {
-            let old = self.segments.remove(0);
-            self.disk.remove(&segment::name(old.first_batch)).map_err(io)?;
-            // At a loss of power one that was removed may come back without the one after it, and
-            // a gap is refused: so each removal lasts before the next.
+        // At a loss of power one that was removed may come back without the one after it, and a gap
+        // is refused: so each removal lasts before the next, also one of an earlier call.
+        self.disk.sync_names().map_err(io)?;
+        while self.first_is_needless(index) {
+            self.disk.remove(&segment::name(self.segments[0].first_batch)).map_err(io)?;
+            self.segments.remove(0);
             self.disk.sync_names().map_err(io)?;
         }
-        self.disk.sync_names().map_err(io)
+        Ok(())
+    }
+
+    /// Whether a snapshot at `index` holds all of the first segment, and a later one the hard state.
+    fn first_is_needless(&self, index: u64) -> bool {
+        let later = self.segments.iter().skip(1).any(|segment| segment.bytes > 0);
+        later && self.segments.first().is_some_and(|first| first.last_index <= index)
+    }
+
+    /// Bytes that are free on the disk, if it tells.
+    pub fn free_bytes(&self) -> Option<u64> {
+        self.disk.free_bytes()
     }
 
     /// Bytes of the log's files.
--- a/crates/pond-test/src/cluster.rs
+++ b/crates/pond-test/src/cluster.rs
@@ -11,13 +11,19 @@
 use pond_proto::Millis;
 use pond_proto::quorum::{Entry, Kind, Letter, Member, Members};
 use pond_quorum::{Core, Input, Output, Role, SnapshotImage, Start, Tuning};
-use pond_store::{Crash, Memory, Snapshot, Store};
+use pond_store::{Crash, Memory, Snapshot, Store, Write, Writer};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
 /// Bytes of what was not synced that a loss of power may leave in a file: up to a few entries.
 const TORN_BYTES: usize = 200;
 
+/// Time between starts of a replica whose disk is full, in milliseconds.
+const START_AGAIN_MS: u64 = 50;
+
+/// Longest time that a disk is full, in milliseconds: several elections.
+const FULL_MS: u64 = 3_000;
+
 /// Longest time until a replica has power again, in milliseconds.
 const BACK_MS: u64 = 1_000;
 
@@ -38,6 +44,8 @@
     pub drift: u64,
     /// Entries after which a replica takes a snapshot.
     pub snapshot_every: u64,
+    /// Chance of a full disk in a step, in hundred-thousandths.
+    pub full: u32,
     /// Whether disks lie about syncing.
     pub lying_disks: bool,
 }
@@ -53,6 +61,7 @@
             cut: 0,
             drift: 0,
             snapshot_every: 1_000_000,
+            full: 0,
             lying_disks: false,
         }
     }
@@ -67,6 +76,7 @@
             cut: 100,
             drift: 20,
             snapshot_every: 20,
+            full: 5,
             lying_disks: false,
         }
     }
@@ -80,13 +90,15 @@
     back: u64,
     /// Its process is killed when it has written entries the next time, before they are synced.
     dies_writing: bool,
+    /// Until when its disk is full.
+    full: u64,
     /// Its clock runs this many thousandths of the true one.
     rate: u64,
 }
 
 struct Running {
     core: Core,
-    store: Store,
+    writer: Writer<Letter>,
     applied: u64,
     values: Vec<u64>,
 }
@@ -162,7 +174,8 @@
         }
         let drift = self.faults.drift;
         let rate = self.rng.random_range(1000 - drift..=1000 + drift);
-        self.nodes.insert(id, Node { disk, running: None, back: 0, dies_writing: false, rate });
+        self.nodes
+            .insert(id, Node { disk, running: None, back: 0, dies_writing: false, full: 0, rate });
         self.start(id);
     }
 
@@ -177,6 +190,7 @@
         let opened = Store::open(Box::new(node.disk.clone()));
         let (store, recovered) = match opened {
             Ok(opened) => opened,
+            Err(pond_store::Error::Full { .. }) => return self.start_later(id),
             Err(error) => return self.fail(format!("replica {id} cannot start: {error}")),
         };
         let snapshot = recovered
@@ -194,9 +208,17 @@
             seed: id * 7919 + self.time,
         };
         let core = Core::new(start, Tuning::default(), now);
-        let store = store.with_segment_bytes(2000);
+        let writer = Writer::new(store.with_segment_bytes(2000));
         if let Some(node) = self.nodes.get_mut(&id) {
-            node.running = Some(Running { core, store, applied, values });
+            node.running = Some(Running { core, writer, applied, values });
+        }
+    }
+
+    /// Its disk has no room to start with.
+    fn start_later(&mut self, id: u64) {
+        let back = self.time + START_AGAIN_MS;
+        if let Some(node) = self.nodes.get_mut(&id) {
+            node.back = back;
         }
     }
 
@@ -280,6 +302,24 @@
         self.start(id);
     }
 
+    /// Lets a replica's disk be full for `wait` milliseconds.
+    pub fn fill(&mut self, id: u64, wait: u64) {
+        let until = self.time + wait;
+        if let Some(node) = self.nodes.get_mut(&id) {
+            node.full = node.full.max(until);
+            node.disk.refuse(0..u64::MAX);
+        }
+    }
+
+    /// Gives disks room again whose time has come.
+    fn empty(&mut self) {
+        let time = self.time;
+        for node in self.nodes.values_mut().filter(|node| node.full > 0 && node.full <= time) {
+            node.full = 0;
+            node.disk.refuse(0..0);
+        }
+    }
+
     /// Cuts two replicas off from each other for `wait` milliseconds.
     pub fn cut(&mut self, a: u64, b: u64, wait: u64) {
         self.cuts.insert((a.min(b), a.max(b)), self.time + wait);
@@ -386,6 +426,13 @@
                 self.crash(*id, wait);
             }
         }
+        for id in &ids {
+            if self.faults.full > 0 && self.rng.random_range(0..100_000) < self.faults.full {
+                let wait = self.rng.random_range(10..FULL_MS);
+                self.fill(*id, wait);
+            }
+        }
+        self.empty();
         if self.rng.random_range(0..100_000) < self.faults.cut {
             let a = ids[self.rng.random_range(0..ids.len())];
             let b = ids[self.rng.random_range(0..ids.len())];
@@ -418,7 +465,16 @@
             }
             return;
         }
-        self.input(id, Input::Tick);
+        // A candidate whose vote for itself cannot last can win nothing.
+        let abstains = self
+            .running(id)
+            .is_some_and(|running| running.writer.full() && running.core.role() != Role::Leader);
+        if !abstains {
+            self.input(id, Input::Tick);
+        }
+        if self.running(id).is_some_and(|running| running.writer.full()) {
+            self.flush(id);
+        }
         for _ in 0..8 {
             let now = self.now(id);
             let running = self.nodes.get_mut(&id).and_then(|node| node.running.as_mut());
@@ -431,65 +487,94 @@
         }
     }
 
+    fn running(&self, id: u64) -> Option<&Running> {
+        self.nodes.get(&id)?.running.as_ref()
+    }
+
     fn carry_out(&mut self, id: u64, outputs: Vec<Output>) {
         // A crash may come between writing and syncing, with messages sent before it.
         let dies = self.rng.random_range(0..100_000) < self.faults.crash * 10;
         for output in &outputs {
-            match output {
-                Output::Send(letter) => self.send(letter.clone()),
-                Output::Install { image, keeps_log } => {
-                    let snapshot = Snapshot { head: image.head.clone(), data: image.data.to_vec() };
-                    let _ = self.with_store(id, |store| match keeps_log {
-                        true => store.save(&snapshot),
-                        false => store.replace(&snapshot),
-                    });
-                }
-                Output::Persist { hard, entries } => {
-                    let _ = self.with_store(id, |store| store.append(*hard, entries));
-                }
-                _ => {}
-            }
+            self.put(id, output);
         }
         if dies {
+            self.with_writer(id, Writer::write);
             let wait = self.rng.random_range(10..500);
             return self.crash(id, wait);
         }
         if self.killed_writing(id, &outputs) {
             return;
         }
-        if self.with_store(id, Store::sync).is_err() {
-            return self.fail(format!("replica {id} cannot sync"));
-        }
-        let wrote = outputs.iter().any(|output| matches!(output, Output::Persist { .. }));
+        self.flush(id);
         for output in outputs {
             self.output(id, output);
         }
-        if wrote {
+    }
+
+    /// Sends what need not wait, and hands in what must last and what waits for it.
+    fn put(&mut self, id: u64, output: &Output) {
+        if let Output::Send(letter) = output {
+            return self.send(letter.clone());
+        }
+        let running = self.nodes.get_mut(&id).and_then(|node| node.running.as_mut());
+        let Some(writer) = running.map(|running| &mut running.writer) else { return };
+        match output {
+            Output::SendDurable(letter) => writer.then(letter.clone()),
+            Output::Persist { hard, entries } => {
+                writer.put(Write::Batch { hard: *hard, entries: entries.clone() });
+            }
+            Output::Install { image, keeps_log } => {
+                let snapshot = Snapshot { head: image.head.clone(), data: image.data.to_vec() };
+                writer.put(Write::Snapshot { snapshot, keeps_log: *keeps_log });
+            }
+            _ => {}
+        }
+    }
+
+    fn flush(&mut self, id: u64) {
+        let was_full = self.running(id).is_some_and(|running| running.writer.full());
+        let Some(flushed) = self.with_writer(id, Writer::flush) else { return };
+        for letter in flushed.then {
+            self.send(letter);
+        }
+        if flushed.lasts {
             self.input(id, Input::Persisted);
         }
+        let is_full = self.running(id).is_some_and(|running| running.writer.full());
+        if is_full && !was_full {
+            self.input(id, Input::HandOver);
+        }
     }
 
     /// Whether a kill was due now; its disk keeps what was written and may lose it later.
     fn killed_writing(&mut self, id: u64, outputs: &[Output]) -> bool {
         let entries = |output: &Output| matches!(output, Output::Persist { entries, .. } if !entries.is_empty());
-        let Some(node) = self.nodes.get_mut(&id) else { return false };
-        if !node.dies_writing || !outputs.iter().any(entries) {
+        let due = self.nodes.get(&id).is_some_and(|node| node.dies_writing);
+        if !due || !outputs.iter().any(entries) {
             return false;
         }
+        self.with_writer(id, Writer::write);
+        let Some(node) = self.nodes.get_mut(&id) else { return false };
         node.dies_writing = false;
         node.running = None;
         node.back = self.time;
         true
     }
 
-    fn with_store<T>(
+    /// Does something with a replica's files; none if it does not run, or if they failed.
+    fn with_writer<T>(
         &mut self,
         id: u64,
-        act: impl FnOnce(&mut Store) -> Result<T, pond_store::Error>,
-    ) -> Result<T, String> {
-        let running = self.nodes.get_mut(&id).and_then(|node| node.running.as_mut());
-        let running = running.ok_or("it is not running")?;
-        act(&mut running.store).map_err(|error| error.to_string())
+        act: impl FnOnce(&mut Writer<Letter>) -> Result<T, pond_store::Error>,
+    ) -> Option<T> {
+        let running = self.nodes.get_mut(&id).and_then(|node| node.running.as_mut())?;
+        match act(&mut running.writer) {
+            Ok(done) => Some(done),
+            Err(error) => {
+                self.fail(format!("the files of replica {id} failed: {error}"));
+                None
+            }
+        }
     }
 
     fn send(&mut self, letter: Letter) {
@@ -505,7 +590,6 @@
 
     fn output(&mut self, id: u64, output: Output) {
         match output {
-            Output::SendDurable(letter) => self.send(letter),
             Output::Appended { ticket, index, term } => {
                 if let Some(value) = self.proposed.remove(&ticket) {
                     self.placed.insert((id, index, term), value);
@@ -569,7 +653,8 @@
         };
         let Some(head) = running.core.head_at(index) else { return };
         let data = encode(&running.values);
-        if running.store.save(&Snapshot { head: head.clone(), data: data.clone() }).is_ok() {
+        let saved = running.writer.save(&Snapshot { head: head.clone(), data: data.clone() });
+        if saved.is_ok_and(|saved| saved) {
             let image = SnapshotImage { head, data: Arc::new(data) };
             self.input(id, Input::Compact(image));
         }
@@ -603,6 +688,7 @@
         self.cuts.clear();
         for node in self.nodes.values_mut() {
             node.back = node.back.min(self.time);
+            node.full = node.full.min(self.time);
         }
         self.run(6000);
         let Some(leader) = self.leader() else {
