Plans: candidates are kept and made anew only when their worker changed; images are keys

Change: the module board keeps candidates between plans. One is made anew when its worker reported, got a start or an end, was lost, had a job that ended, or was given something by the last plan; before each plan it is only brought up to date with what hangs on the time (loads, rests) and on what was learned elsewhere (coefficients). Images are small keys; coefficients stand in tables by key. Same decisions: with debug assertions, as in all tests, each plan makes every candidate anew and compares; all 131 tests of the crate pass so, the property tests over random histories included.

--- a/crates/pond-job/src/lead/beside.rs
+++ b/crates/pond-job/src/lead/beside.rs
@@ -1,44 +1,29 @@
 //! Serving and filling tasks that share a worker, as the model of harm knows them.
 
 use pond_proto::fleet::RunRow;
-use pond_proto::job::Step;
+
+use super::image::Image;
 
 /// Serving tasks of one image on a worker.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Served {
     /// Their image.
-    pub image: String,
+    pub image: Image,
     /// Their target, in milliseconds.
     pub target_ms: u32,
     /// The highest load among them, as a pressure.
     pub load: f64,
 }
 
-impl Served {
-    /// A serving task under this load; none for other tasks.
-    pub fn of(step: &Step, load: f64) -> Option<Served> {
-        let (image, target_ms) = (step.image.clone(), step.tail_target_ms);
-        step.serves().then_some(Served { image, target_ms, load })
-    }
-}
-
 /// A filling task on a worker.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Filler {
     /// Its image.
-    pub image: String,
+    pub image: Image,
     /// The share of the worker's processors that it uses at full pace.
     pub share: f64,
 }
 
-impl Filler {
-    /// A filling task on a worker with so many thousandths of processors; none for other tasks.
-    pub fn of(step: &Step, processors: u32) -> Option<Filler> {
-        let (image, share) = (step.image.clone(), share(step.milli_cpu, processors));
-        step.fills.then_some(Filler { image, share })
-    }
-}
-
 /// Whether a serving run is at work; until then it answers nobody, so it has no tail to keep.
 pub(super) fn at_work(row: &RunRow) -> bool {
     row.percent == 100
--- a/crates/pond-job/src/lead/candidate.rs
+++ b/crates/pond-job/src/lead/candidate.rs
@@ -2,14 +2,16 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use pond_proto::Size;
 use pond_proto::job::{RunName, Step, TaskName};
+use pond_proto::{Millis, Size};
 
 use crate::change::Start;
 
 use super::advice::StepName;
 use super::beside::{Filler, Served, share};
-use super::harm::{Column, Harm, Pressed};
+use super::harm::{Column, Harm, Pressed, Serving};
+use super::health::Health;
+use super::image::Image;
 use super::obstacle::Obstacle;
 use super::worker::Worker;
 
@@ -29,8 +31,9 @@
 /// but an empty worker. Measured only as it is.
 const DISTURBED: i64 = 10;
 
-/// A worker with what it has room for.
-#[derive(Clone, Debug)]
+/// A worker with what it has room for. What hangs on its runs alone is made when one of them changes, see
+/// the module `board`; what also hangs on the time, before each plan, by [`Candidate::refresh`].
+#[derive(Clone, Debug, PartialEq)]
 pub struct Candidate {
     /// This life of the worker.
     pub life: String,
@@ -50,10 +53,14 @@
     pub passing: Size,
     /// Processors that nothing uses, filling tasks counted, in thousandths.
     pub idle: i64,
+    /// The serving runs there.
+    serving: Vec<Serving>,
     /// Serving tasks there, one entry for each image: the target of the first, the highest load.
-    pub served: Vec<Pressed>,
+    served: Vec<Pressed>,
     /// Filling tasks there.
-    pub fillers: Vec<Filler>,
+    fillers: Vec<Filler>,
+    /// Runs there that will end by themselves.
+    passing_runs: usize,
     /// How many more runs it may be given that end by themselves.
     pub more: usize,
     /// Tasks that were started there although they were expected to disturb.
@@ -62,6 +69,8 @@
     pub resting: bool,
     /// How many tasks of each time and step of a job it has.
     pub steps: BTreeMap<StepName, u32>,
+    /// A plan gave it something or keeps room there: it is no longer what its runs make it.
+    pub planned: bool,
 }
 
 impl Candidate {
@@ -77,12 +86,15 @@
             kept: Vec::new(),
             passing: Size::default(),
             idle: i64::from(worker.room.milli_cpu),
+            serving: Vec::new(),
             served: Vec::new(),
             fillers: Vec::new(),
+            passing_runs: 0,
             more: usize::MAX,
             tried: 0,
             resting: false,
             steps: BTreeMap::new(),
+            planned: false,
         }
     }
 
@@ -91,22 +103,61 @@
         Start { run, worker: self.life.clone(), agent: self.agent.clone() }
     }
 
-    /// Gives it a task.
-    pub fn take(&mut self, task: TaskName, step: &Step, served: Option<Served>, harm: &Harm) {
+    /// Adds a run that is placed there, of a job that goes on or not.
+    pub fn add(&mut self, run: RunName, step: &Step, goes_on: bool, harm: &mut Harm) {
+        self.serving.extend(harm.placed(run, step, goes_on));
+        self.fillers.extend(harm.filler(step, self.processors));
+        self.passing_runs += usize::from(!step.lasting);
+        self.occupy(run.task, step);
+    }
+
+    /// Brings up to date what changes with time and with what is learned elsewhere.
+    pub fn refresh(&mut self, now: Millis, health: Option<&Health>, harm: &Harm) {
+        self.more = health.map_or(usize::MAX, |health| health.allowed(now, self.passing_runs));
+        self.resting = health.is_some_and(|health| health.resting(now));
+        self.served.clear();
+        for place in 0..self.serving.len() {
+            let served = self.serving[place].at(now);
+            self.serve(served, harm);
+        }
+    }
+
+    /// Gives it a task of an image.
+    pub fn take(
+        &mut self,
+        task: TaskName,
+        step: &Step,
+        image: Image,
+        served: Option<Served>,
+        harm: &Harm,
+    ) {
+        self.planned = true;
+        if let Some(served) = served {
+            self.serve(served, harm);
+        }
+        if step.fills {
+            let filler = Filler { image, share: self.share(step) };
+            harm.press(&mut self.served, &filler);
+            self.fillers.push(filler);
+        }
+        if !step.lasting {
+            self.more = self.more.saturating_sub(1);
+        }
+        self.occupy(task, step);
+    }
+
+    /// Takes room for a task.
+    fn occupy(&mut self, task: TaskName, step: &Step) {
         self.free = minus(self.free, step.size());
         self.idle -= used(step);
-        self.serve(served, harm);
-        self.fill(step, harm);
         if !step.lasting {
             self.passing = self.passing.plus(step.size());
-            self.more = self.more.saturating_sub(1);
         }
         *self.steps.entry(task.into()).or_default() += 1;
     }
 
     /// Adds a serving task, the highest load of each image counting.
-    fn serve(&mut self, served: Option<Served>, harm: &Harm) {
-        let Some(served) = served else { return };
+    fn serve(&mut self, served: Served, harm: &Harm) {
         let alike = |there: &&mut Pressed| there.served.image == served.image;
         match self.served.iter_mut().find(alike) {
             Some(there) => there.served.load = there.served.load.max(served.load),
@@ -114,13 +165,6 @@
         }
     }
 
-    /// Adds a filling task; other tasks do not count.
-    fn fill(&mut self, step: &Step, harm: &Harm) {
-        let Some(filler) = Filler::of(step, self.processors) else { return };
-        harm.press(&mut self.served, &filler);
-        self.fillers.push(filler);
-    }
-
     /// Whether a task may run there now, whatever it does to the serving tasks there.
     pub fn fits(&self, pool: &str, task: TaskName, step: &Step) -> bool {
         self.obstacle(pool, task, step).is_none()
@@ -172,8 +216,8 @@
 
     /// Whether a task could ever run there beside so many more of its step.
     fn allows_beside(&self, pool: &str, task: TaskName, step: &Step, more: u32) -> bool {
-        let held = self.steps.get(&task.into()).copied().unwrap_or(0) + more;
-        let apart = step.most_per_worker == 0 || held < step.most_per_worker;
+        let held = || self.steps.get(&task.into()).copied().unwrap_or(0) + more;
+        let apart = step.most_per_worker == 0 || held() < step.most_per_worker;
         let labelled = step.required_label.is_empty() || self.labels.contains(&step.required_label);
         self.pool == pool && apart && labelled
     }
@@ -206,6 +250,7 @@
 
     /// Keeps room for a task, so that later ones of other steps do not take it bit by bit.
     pub fn keep(&mut self, task: TaskName, step: &Step) {
+        self.planned = true;
         self.kept.push((task.into(), step.size()));
     }
 
--- a/crates/pond-job/src/lead/evict.rs
+++ b/crates/pond-job/src/lead/evict.rs
@@ -41,7 +41,7 @@
 
     /// The serving tasks of a report, and its filling runs that are not moved already.
     fn beside(
-        &self,
+        &mut self,
         state: &State,
         now: Millis,
         report: &Report,
@@ -50,7 +50,7 @@
         for row in &report.runs {
             let Some(step) = state.step(row.run.task) else { continue };
             served.extend(self.harm.served(now, row.run, step).filter(|_| at_work(row)));
-            let filler = Filler::of(step, report.milli_cpu);
+            let filler = self.harm.filler(step, report.milli_cpu);
             if let Some(filler) = filler.filter(|_| !self.unwanted.contains(&row.run)) {
                 runs.push(row.run);
                 fillers.push(filler);
--- a/crates/pond-job/src/lead/load.rs
+++ b/crates/pond-job/src/lead/load.rs
@@ -18,7 +18,7 @@
 const HIGHEST: f64 = 0.75;
 
 /// What is known of the load of a serving run.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Load {
     mean: f64,
     variance: f64,
--- a/crates/pond-job/src/lead/mod.rs
+++ b/crates/pond-job/src/lead/mod.rs
@@ -9,11 +9,13 @@
 mod advice;
 mod ask;
 mod beside;
+mod board;
 mod candidate;
 mod ends;
 mod evict;
 mod harm;
 mod health;
+mod image;
 mod load;
 mod obstacle;
 mod order;
@@ -39,6 +41,7 @@
 
 use absent::Absence;
 use advice::Adviser;
+use board::Board;
 use ends::Loss;
 use harm::Harm;
 use health::Health;
@@ -99,6 +102,8 @@
     absent: BTreeMap<RunName, Absence>,
     /// Lives whose agents may need an order.
     dirty: BTreeSet<String>,
+    /// Candidates that are kept from plan to plan.
+    board: Board,
     /// When this replica last looked at what is overdue.
     looked: Millis,
     /// When what was learned was last written down.
@@ -128,6 +133,7 @@
             waits: BTreeMap::new(),
             absent: BTreeMap::new(),
             dirty: BTreeSet::new(),
+            board: Board::default(),
             looked: Millis(0),
             written: now,
             ended: BTreeMap::new(),
@@ -161,7 +167,7 @@
         }
         self.propose_ends(state, now, &life, &report);
         self.watch_progress(state, now, &life, &report);
-        self.dirty.insert(life);
+        self.touch(&life);
     }
 
     /// A link to an agent is lost. Its worker keeps its lease.
@@ -176,14 +182,12 @@
         match change {
             Change::Start(starts) => {
                 self.starting = None;
-                self.dirty.extend(starts.iter().map(|start| start.worker.clone()));
-            }
-            Change::Ended { worker, .. } => {
-                self.dirty.insert(worker.clone());
+                starts.iter().for_each(|start| self.touch(&start.worker));
             }
+            Change::Ended { worker, .. } => self.touch(worker),
             Change::WorkerLost { worker, .. } => {
                 self.losing.remove(worker);
-                self.dirty.insert(worker.clone());
+                self.touch(worker);
                 self.drop_lost_runs(state);
             }
             Change::Forget(ids) => self.ended.retain(|id, _| !ids.contains(id)),
@@ -207,7 +211,17 @@
     fn touch_workers_of(&mut self, state: &State, id: u64) {
         let Some(job) = state.job(id) else { return };
         let tasks = job.times.iter().flatten().flatten();
-        self.dirty.extend(tasks.filter_map(|task| task.worker.clone()));
+        for task in tasks {
+            if let Some(life) = &task.worker {
+                self.touch(life);
+            }
+        }
+    }
+
+    /// Something has changed on a life of a worker.
+    fn touch(&mut self, life: &str) {
+        self.dirty.insert(life.to_owned());
+        self.board.touch(life);
     }
 
     /// Looks at what is due and hands out what the shell must do.
--- a/crates/pond-job/src/lead/order.rs
+++ b/crates/pond-job/src/lead/order.rs
@@ -7,7 +7,7 @@
 use pond_proto::job::{RunName, Step};
 
 use super::advice::Adviser;
-use super::beside::{Filler, Served, permille};
+use super::beside::{Served, permille};
 use super::worker::Worker;
 use super::{Leader, Output};
 use crate::state::State;
@@ -49,16 +49,17 @@
     }
 
     /// How the agent should watch each run of its worker.
-    fn watches(&self, state: &State, now: Millis, life: &str) -> Vec<Watch> {
+    fn watches(&mut self, state: &State, now: Millis, life: &str) -> Vec<Watch> {
         let steps: Vec<(RunName, &Step)> =
             state.placed(life).filter_map(|run| Some((run, state.step(run.task)?))).collect();
         let room = self.workers.get(life).map_or(0, |worker| worker.room.milli_cpu);
+        let harm = &mut self.harm;
         let served: Vec<Served> =
-            steps.iter().filter_map(|(run, step)| self.harm.served(now, *run, step)).collect();
+            steps.iter().filter_map(|(run, step)| harm.served(now, *run, step)).collect();
         let mut watches = Vec::new();
         for (run, step) in steps {
-            let filler = Filler::of(step, room);
-            let blame = filler.map_or(0.0, |filler| self.harm.added(&served, &filler));
+            let filler = harm.filler(step, room);
+            let blame = filler.map_or(0.0, |filler| harm.added(&served, &filler));
             watches.push(Watch {
                 run,
                 tail_target_ms: step.tail_target_ms,
--- a/crates/pond-job/src/lead/overdue.rs
+++ b/crates/pond-job/src/lead/overdue.rs
@@ -172,7 +172,7 @@
             let found = self.least_disturbed(now, group, task, boldness, candidates);
             let Some(found) = found else { break };
             undo.note(found, candidates);
-            candidates[found].take(task, group.step, group.served.clone(), &self.harm);
+            candidates[found].take(task, group.step, group.image, group.served, &self.harm);
             candidates[found].tried += 1;
             starts.push(candidates[found].start(RunName { task, number: *number }));
         }
@@ -225,7 +225,7 @@
             avoided.is_some_and(|avoided| avoided.contains(&candidate.life))
         };
         let found = candidates.iter().enumerate().filter(|(_, candidate)| open(candidate));
-        let column = self.harm.column(&group.step.image);
+        let column = self.harm.column(group.image);
         let keyed = found.map(|(i, candidate)| {
             (i, failed(candidate), candidate.excess_with(group.step, &column))
         });
--- a/crates/pond-job/src/lead/plan.rs
+++ b/crates/pond-job/src/lead/plan.rs
@@ -1,12 +1,11 @@
 //! Places tasks whose turn has come.
 
-use pond_proto::job::{RunName, Step, TaskName};
+use pond_proto::job::{RunName, TaskName};
 use pond_proto::{Millis, Span};
 
 use super::candidate::{Candidate, Undo};
 use super::obstacle::{Obstacle, Obstacles};
 use super::ready::{Ready, ready};
-use super::worker::Worker;
 use super::{Leader, Output, PROPOSE_AGAIN_MS};
 use crate::change::{Change, Start};
 use crate::job::Task;
@@ -42,7 +41,7 @@
         if now.since(self.since) < FIRST_PLAN_MS {
             return;
         }
-        let mut ready = ready(state, now, wall, &self.harm);
+        let mut ready = ready(state, now, wall, &mut self.harm);
         if self.gathers(state, now, &ready) {
             ready.retain(|group| group.served.is_none());
         }
@@ -66,6 +65,7 @@
         self.note_waits(state, now, wall, &blocked, &ready[reached..]);
         self.try_overdue(state, now, &blocked, &mut candidates, &mut starts);
         self.ask_about_ready(now, &ready, &candidates);
+        self.board.keep(candidates);
         if !starts.is_empty() {
             self.starting = Some(now);
             self.outputs.push(Output::Propose(Change::Start(starts)));
@@ -90,33 +90,6 @@
             || state.workers().all(|life| self.workers.contains_key(life))
     }
 
-    /// The workers that may be given something, with what they have room for.
-    fn candidates(&self, state: &State, now: Millis) -> Vec<Candidate> {
-        let sound = |worker: &Worker| {
-            let fresh = now.since(worker.heard) <= FRESH_MS;
-            worker.link.is_some() && !worker.draining && worker.answers && fresh
-        };
-        let sound = self.workers.iter().filter(|(_, worker)| sound(worker));
-        sound.map(|(life, worker)| self.candidate(state, now, life, worker)).collect()
-    }
-
-    /// A worker with what the runs that are placed on it leave.
-    fn candidate(&self, state: &State, now: Millis, life: &str, worker: &Worker) -> Candidate {
-        let placed: Vec<(RunName, &Step)> =
-            state.placed(life).filter_map(|run| Some((run, state.step(run.task)?))).collect();
-        let mut candidate = Candidate::new(life, worker);
-        for (run, step) in &placed {
-            candidate.take(run.task, step, self.harm.served(now, *run, step), &self.harm);
-        }
-        let health = self.health.get(&worker.agent);
-        let passing = placed.iter().filter(|(_, step)| !step.lasting).count();
-        // Health counts the runs there itself, so this comes after they were taken.
-        candidate.more = health.map_or(usize::MAX, |health| health.allowed(now, passing));
-        candidate.resting = health.is_some_and(|health| health.resting(now));
-        candidate.tried = placed.iter().filter(|(run, _)| self.tried.contains(run)).count();
-        candidate
-    }
-
     /// Places the tasks of a group that wait, as far as there is room; what was in the way of the
     /// first that found none.
     fn place(
@@ -140,7 +113,7 @@
                 keep_room(group, index, candidates);
                 return Some(obstacles);
             };
-            candidates[found].take(name, group.step, group.served.clone(), &self.harm);
+            candidates[found].take(name, group.step, group.image, group.served, &self.harm);
             let run = RunName { task: name, number: task.run + 1 };
             starts.push(candidates[found].start(run));
         }
@@ -170,7 +143,7 @@
                 return Some(obstacles);
             };
             undo.note(found, candidates);
-            candidates[found].take(name, group.step, group.served.clone(), &self.harm);
+            candidates[found].take(name, group.step, group.image, group.served, &self.harm);
             let run = RunName { task: name, number };
             placed.push(candidates[found].start(run));
         }
@@ -216,7 +189,7 @@
         task: TaskName,
         candidates: &[Candidate],
     ) -> Option<usize> {
-        let column = self.harm.column(&group.step.image);
+        let column = self.harm.column(group.image);
         let fits = |candidate: &Candidate| {
             candidate.fits(&group.job.pool, task, group.step)
                 && candidate.bears(group.step, &column)
--- a/crates/pond-job/src/lead/ready.rs
+++ b/crates/pond-job/src/lead/ready.rs
@@ -8,6 +8,7 @@
 
 use super::beside::Served;
 use super::harm::Harm;
+use super::image::Image;
 use crate::job::{Job, Task, longest_chain};
 use crate::state::State;
 
@@ -28,6 +29,8 @@
     pub step: &'a Step,
     /// The job.
     pub job: &'a Job,
+    /// The image of its tasks.
+    pub image: Image,
     /// One of its tasks as a serving one; none for other tasks.
     pub served: Option<Served>,
 }
@@ -80,7 +83,7 @@
     state: &'a State,
     now: Millis,
     wall: Millis,
-    harm: &Harm,
+    harm: &mut Harm,
 ) -> Vec<Ready<'a>> {
     let mut ready = Vec::new();
     for (id, job) in state.active().filter(|(_, job)| !job.phase.ended()) {
@@ -92,7 +95,8 @@
                 if tasks.iter().any(Task::waits) && job.turn(time, step_index) {
                     let urgency = urgency(job, time, wall);
                     let served = harm.newly_served(now, step);
-                    ready.push(Ready { urgency, id, time, step_index, step, job, served });
+                    let image = harm.image(&step.image);
+                    ready.push(Ready { urgency, id, time, step_index, step, job, image, served });
                 }
             }
         }
--- a/crates/pond-job/src/lead/regression.rs
+++ b/crates/pond-job/src/lead/regression.rs
@@ -3,11 +3,10 @@
 //! Unlike one estimate for each coefficient alone, it keeps how the errors of coefficients hang
 //! together, so that what is always seen together is told apart as soon as it is once seen apart.
 
-use std::collections::BTreeMap;
-
 use pond_proto::Span;
 
-use crate::lesson::Image;
+use super::image::{Image, Images};
+use crate::lesson;
 
 /// Growth of a coefficient's variance with each second in which nobody measured: about ten
 /// measurements a second come in otherwise.
@@ -16,8 +15,10 @@
 /// A model of a measurement as a sum of coefficients times amounts.
 #[derive(Clone, Debug)]
 pub struct Regression {
-    /// Place of each term.
-    places: BTreeMap<String, usize>,
+    /// The place of each image's term, by the place of the image; none for those without one.
+    places: Vec<Option<u32>>,
+    /// The image of each term.
+    terms: Vec<Image>,
     means: Vec<f64>,
     /// Covariances of the coefficients, row by row.
     spread: Vec<Vec<f64>>,
@@ -47,19 +48,36 @@
 impl Regression {
     /// Nothing measured yet.
     pub fn new(tuning: Tuning) -> Regression {
-        Regression { places: BTreeMap::new(), means: Vec::new(), spread: Vec::new(), tuning }
+        Regression {
+            places: Vec::new(),
+            terms: Vec::new(),
+            means: Vec::new(),
+            spread: Vec::new(),
+            tuning,
+        }
     }
 
     /// The model that was written down this long ago, in milliseconds.
-    pub fn recall(image: &Image, age_ms: Span, tuning: Tuning) -> Regression {
+    pub fn recall(
+        image: &lesson::Image,
+        age_ms: Span,
+        tuning: Tuning,
+        images: &mut Images,
+    ) -> Regression {
         let mut spread: Vec<Vec<f64>> =
             image.spread.iter().map(|row| row.iter().map(|x| f64::from(*x)).collect()).collect();
         let growth = FORGETTING * age_ms as f64 / 1_000.0;
         for (i, row) in spread.iter_mut().enumerate() {
             row[i] = (row[i] + growth).min(tuning.variance).max(row[i]);
         }
+        let terms: Vec<Image> = image.fillers.iter().map(|name| images.key(name)).collect();
+        let mut places = Vec::new();
+        for (place, term) in terms.iter().enumerate() {
+            note_place(&mut places, *term, place);
+        }
         Regression {
-            places: image.fillers.iter().cloned().zip(0..).collect(),
+            places,
+            terms,
             means: image.means.iter().map(|mean| f64::from(*mean)).collect(),
             spread,
             tuning,
@@ -67,32 +85,30 @@
     }
 
     /// Writes the model down.
-    pub fn write(&self, idle_ms: f64) -> Image {
-        let mut fillers = vec![String::new(); self.means.len()];
-        for (term, place) in &self.places {
-            fillers[*place] = term.clone();
-        }
+    pub fn write(&self, idle_ms: f64, images: &Images) -> lesson::Image {
         let row = |row: &Vec<f64>| row.iter().map(|x| *x as f32).collect();
-        Image {
+        lesson::Image {
             idle_ms: idle_ms as f32,
-            fillers,
+            fillers: self.terms.iter().map(|term| images.name(*term).to_owned()).collect(),
             means: self.means.iter().map(|mean| *mean as f32).collect(),
             spread: self.spread.iter().map(row).collect(),
         }
     }
 
-    /// The coefficient of a term.
-    pub fn coefficient(&self, term: &str) -> f64 {
-        self.places.get(term).map_or(self.tuning.mean, |place| self.means[*place])
+    /// The coefficient of an image.
+    pub fn coefficient(&self, image: Image) -> f64 {
+        let place = self.places.get(image.place()).copied().flatten();
+        place.map_or(self.tuning.mean, |place| self.means[place as usize])
     }
 
-    /// The place of a term, a new one if it is not known yet.
-    fn place(&mut self, term: &str) -> usize {
-        if let Some(place) = self.places.get(term) {
-            return *place;
+    /// The place of an image's term, a new one if it has none yet.
+    fn place(&mut self, image: Image) -> usize {
+        if let Some(place) = self.places.get(image.place()).copied().flatten() {
+            return place as usize;
         }
         let place = self.means.len();
-        self.places.insert(term.to_owned(), place);
+        note_place(&mut self.places, image, place);
+        self.terms.push(image);
         self.means.push(self.tuning.mean);
         for row in &mut self.spread {
             row.push(0.0);
@@ -104,14 +120,9 @@
     }
 
     /// Takes in a measurement with the variance of its noise.
-    pub fn learn(
-        &mut self,
-        amounts: &BTreeMap<String, f64>,
-        measured: f64,
-        noise: f64,
-    ) -> Surprise {
+    pub fn learn(&mut self, amounts: &[(Image, f64)], measured: f64, noise: f64) -> Surprise {
         let inputs: Vec<(usize, f64)> =
-            amounts.iter().map(|(term, amount)| (self.place(term), *amount)).collect();
+            amounts.iter().map(|(image, amount)| (self.place(*image), *amount)).collect();
         self.grow();
         // Covariance of each coefficient with the measurement.
         let shared: Vec<f64> = self.spread.iter().map(|row| weighted(row, &inputs)).collect();
@@ -145,6 +156,13 @@
     }
 }
 
+/// An image's term stands there.
+fn note_place(places: &mut Vec<Option<u32>>, image: Image, place: usize) {
+    let all = places.len().max(image.place() + 1);
+    places.resize(all, None);
+    places[image.place()] = Some(place as u32);
+}
+
 /// The sum of the values at these places, each times its amount.
 fn weighted(values: &[f64], inputs: &[(usize, f64)]) -> f64 {
     inputs.iter().map(|(place, amount)| values[*place] * amount).sum()
