Plans: workers are weighed once for a group, and not again for what found no place; four beliefs get their tests

Cause: each task of a group weighed all workers anew, and each group that asked for the same as one that found no place did so twice more, for the place and for what was in the way.

Change: a ranking is made once for a group and brought up to date for the worker that was given a task. What a plan found no place for is not weighed again for groups that ask for the same, unless their own tasks decide (gangs, bounds on a worker, advice). Same decisions; the counts of what is in the way are those of the first such group.

Tests: groups that look alike are told apart (fails without); the four mechanisms that no test had noticed: room kept for the own step, a place on a silent worker, the adviser's order, the task that has not failed. Each fails when its mechanism is taken out.

--- a/crates/pond-job/benches/plan.rs
+++ b/crates/pond-job/benches/plan.rs
@@ -35,6 +35,9 @@
 /// Tasks of a group that waits.
 const TASKS: u32 = 2;
 
+/// Tasks of a wide one.
+const WIDE: u32 = 24;
+
 /// What filling images add to the pressure on serving ones, over shares of processors.
 const STILL: f32 = 0.1;
 const DISTURBING: f32 = 5.0;
@@ -65,6 +68,10 @@
     Fits,
     /// The same, and their tasks start together.
     Gang,
+    /// The same, with as many tasks as one proposal of starts holds for ten groups.
+    Wide,
+    /// They are alike, and nothing has room for one of their tasks.
+    Full,
     /// They are taken to disturb wherever they go, or find the processors used, in turn.
     Overdue,
 }
@@ -289,6 +296,8 @@
     match kind {
         Kind::Fits => filling(i, TASKS, 1_000),
         Kind::Gang => Step { gang: true, ..filling(i, TASKS, 1_000) },
+        Kind::Wide => filling(i, WIDE, 1_000),
+        Kind::Full => filling(0, TASKS, ROOM),
         Kind::Overdue if group.is_multiple_of(2) => {
             Step { image: LOUD.to_owned(), ..filling(i, TASKS, 8_000) }
         }
@@ -333,6 +342,8 @@
         ("1. that fit", Kind::Fits),
         ("2. gangs that fit", Kind::Gang),
         ("3. whose trials are due", Kind::Overdue),
+        ("4. of 24 tasks that fit", Kind::Wide),
+        ("5. alike without room", Kind::Full),
     ]);
     println!(
         "| workers | tasks | us a plan, nothing waits | us a look | us a report | us its order |"
--- a/crates/pond-job/src/lead/mod.rs
+++ b/crates/pond-job/src/lead/mod.rs
@@ -24,6 +24,7 @@
 mod plan;
 mod pressure;
 mod progress;
+mod rank;
 mod ready;
 mod regression;
 mod wait;
--- a/crates/pond-job/src/lead/plan.rs
+++ b/crates/pond-job/src/lead/plan.rs
@@ -5,6 +5,7 @@
 
 use super::candidate::{Candidate, Undo};
 use super::obstacle::{Obstacle, Obstacles};
+use super::rank::{Full, Ranking};
 use super::ready::{Ready, ready};
 use super::{Leader, Output, PROPOSE_AGAIN_MS};
 use crate::change::{Change, Start};
@@ -53,12 +54,21 @@
         let mut starts = Vec::new();
         let mut blocked = Vec::new();
         let mut reached = 0;
+        let mut full = Full::default();
         for group in &ready {
             if starts.len() >= STARTS {
                 break;
             }
             reached += 1;
-            if let Some(obstacles) = self.place(now, group, &mut candidates, &mut starts) {
+            let obstacles = match full.obstacles(group) {
+                Some(obstacles) => {
+                    keep_room(group, 0, &mut candidates);
+                    Some(obstacles)
+                }
+                None => self.place(now, group, &mut candidates, &mut starts),
+            };
+            if let Some(obstacles) = obstacles {
+                full.note(group, &obstacles);
                 blocked.push((group, obstacles));
             }
         }
@@ -102,18 +112,20 @@
         if group.step.gang {
             return self.place_gang(now, group, candidates, starts);
         }
+        let mut ranking = Ranking::new(self, now, group, candidates);
         for (index, task) in group.tasks().iter().enumerate() {
             if !task.waits() || starts.len() >= STARTS {
                 continue;
             }
             let name = group.task(index);
-            let Some(found) = self.best(now, group, name, candidates) else {
+            let Some(found) = ranking.best(self.avoided.get(&name), candidates) else {
                 // What has no place for one task has none for the others, as they are equal.
                 let obstacles = self.obstacles(now, group, name, candidates);
                 keep_room(group, index, candidates);
                 return Some(obstacles);
             };
             candidates[found].take(name, group.step, group.image, group.served, &self.harm);
+            ranking.update(found, candidates);
             let run = RunName { task: name, number: task.run + 1 };
             starts.push(candidates[found].start(run));
         }
@@ -135,15 +147,17 @@
         let number = tasks.iter().map(|task| task.run).max().unwrap_or(0) + 1;
         let mut undo = Undo::default();
         let mut placed = Vec::new();
+        let mut ranking = Ranking::new(self, now, group, candidates);
         for index in 0..tasks.len() {
             let name = group.task(index);
-            let Some(found) = self.best(now, group, name, candidates) else {
+            let Some(found) = ranking.best(self.avoided.get(&name), candidates) else {
                 let obstacles = self.obstacles(now, group, name, candidates);
                 undo.restore(candidates);
                 return Some(obstacles);
             };
             undo.note(found, candidates);
             candidates[found].take(name, group.step, group.image, group.served, &self.harm);
+            ranking.update(found, candidates);
             let run = RunName { task: name, number };
             placed.push(candidates[found].start(run));
         }
@@ -179,37 +193,6 @@
     ) -> bool {
         group.job.advice.is_some() && self.adviser.ticket(now, task.into(), life).is_none()
     }
-
-    /// The place of the best candidate for a task, the first of equals; none if it may run nowhere
-    /// now.
-    fn best(
-        &self,
-        now: Millis,
-        group: &Ready<'_>,
-        task: TaskName,
-        candidates: &[Candidate],
-    ) -> Option<usize> {
-        let column = self.harm.column(group.image);
-        let fits = |candidate: &Candidate| {
-            candidate.fits(&group.job.pool, task, group.step)
-                && candidate.bears(group.step, &column)
-        };
-        let avoided = self.avoided.get(&task);
-        let mut best = None;
-        for (i, candidate) in candidates.iter().enumerate().filter(|(_, there)| fits(there)) {
-            if self.lacks_ticket(now, group, task, &candidate.life) {
-                continue;
-            }
-            let avoided = avoided.is_some_and(|avoided| avoided.contains(&candidate.life));
-            let sound = candidate.more > 0;
-            let served = group.served.as_ref();
-            let key = (!avoided, sound, candidate.score(group.step, served, &self.harm, &column));
-            if best.as_ref().is_none_or(|(other, _)| key > *other) {
-                best = Some((key, i));
-            }
-        }
-        best.map(|(_, i)| i)
-    }
 }
 
 /// Keeps room for the tasks of a step from `first` on. Only lasting tasks are worth idle room:
--- a/crates/pond-job/tests/advice.rs
+++ b/crates/pond-job/tests/advice.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use pond_job::{Decision, Permit, Question};
-use pond_proto::job::{How, RunName};
+use pond_proto::job::{How, RunName, Step};
 use support::{Bench, step, task};
 
 /// Answers the newest question: these workers may run the step.
@@ -126,3 +126,30 @@
     bench.settle();
     assert_eq!(bench.asked.len(), 1);
 }
+
+/// Room that is kept for a step is there for that step: the adviser is asked about it.
+#[test]
+fn adviser_is_asked_about_a_worker_whose_room_is_kept_for_the_step() {
+    let mut bench = Bench::new().with_vm("a", 1_000);
+    bench.submit_advised(1, vec![Step { lasting: true, ..step(1, 1_000) }]);
+    bench.settle();
+    assert_eq!(bench.asked.len(), 1);
+    allow(&mut bench, &["a"]);
+    assert_eq!(bench.place_of(task(1, 0, 0)).as_deref(), Some("a"));
+}
+
+/// Answers run out, so the most urgent steps alone could keep the adviser busy for ever.
+#[test]
+fn adviser_is_asked_first_about_the_job_whose_trial_comes_near() {
+    let mut bench = Bench::new().with_vm("a", 1_000);
+    bench.submit_advised(2, vec![Step { estimate_ms: 60_000, ..step(1, 100) }]);
+    bench.settle();
+    let question = bench.asked[0].clone();
+    bench.leader.advised(bench.now, &question, None);
+    bench.now = bench.now + 1_200;
+    bench.report("a");
+    bench.submit_advised(1, vec![step(1, 100)]);
+    bench.settle();
+    let asked: Vec<u64> = bench.asked.iter().map(|question| question.step.job).collect();
+    assert_eq!(asked, [2, 2], "the more urgent job went first");
+}
--- a/crates/pond-job/tests/beliefs.rs
+++ b/crates/pond-job/tests/beliefs.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use pond_job::{Change, Decision};
+use pond_job::{Change, Decision, Start};
 use pond_proto::fleet::EndRow;
 use pond_proto::job::{How, RunName, Step};
 use support::{Bench, SERVING, filling, serving, step, task};
@@ -233,3 +233,43 @@
     let most = bench.proposed[before..].iter().map(starts).max().unwrap_or(0);
     assert!(most <= 256, "{most} starts in one proposal");
 }
+
+/// A place on a worker that has fallen silent is no proof that something of the job runs: it may be dead
+/// long before its lease is surely over.
+#[test]
+fn job_whose_only_placed_run_is_on_a_silent_worker_stands_still() {
+    let mut bench = known_as_loud().with_vm("b", 3_200);
+    bench.submit_batch(9, vec![filling("loud", 2)]);
+    bench.settle();
+    let placed = |bench: &Bench| (0..2).filter_map(|i| bench.place_of(task(9, 0, i))).collect();
+    let places: Vec<String> = placed(&bench);
+    assert_eq!(places, ["b"]);
+    for _ in 0..6 {
+        pass(&mut bench, &["a", "b"], 6, 0);
+    }
+    assert!(still_of(&bench, 9).is_empty(), "tried while its other task runs");
+    for _ in 0..8 {
+        pass(&mut bench, &["a"], 6, 0);
+    }
+    let places: Vec<String> = placed(&bench);
+    assert_eq!(places.len(), 2, "{places:?}");
+    assert!(places.contains(&"b".to_owned()), "the lease of the silent worker is over already");
+}
+
+/// A failure of the task that is tried would say little of the belief and cost its last attempt.
+#[test]
+fn task_that_has_not_failed_is_tried_before_one_that_has() {
+    let mut bench = known_as_loud();
+    bench.submit_batch(9, vec![Step { milli_cpu: 9_600, ..filling("loud", 2) }]);
+    let first = Start { run: run(9, 0, 1), worker: "a".into(), agent: "agent-of-a".into() };
+    bench.apply(Change::Start(vec![first]));
+    pass(&mut bench, &["a"], 6, 0);
+    end_all(&mut bench, "a", &[run(9, 0, 1)], How::Failed);
+    let from = bench.now;
+    while still_of(&bench, 9).is_empty() {
+        assert!(bench.now.since(from) < 60_000, "no trial within a minute");
+        pass(&mut bench, &["a"], 6, 0);
+    }
+    assert!(bench.place_of(task(9, 0, 1)).is_some());
+    assert!(bench.place_of(task(9, 0, 0)).is_none());
+}
--- a/crates/pond-job/tests/placement.rs
+++ b/crates/pond-job/tests/placement.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use pond_proto::job::{How, Step};
+use pond_proto::job::{How, Step, TaskName};
 use support::{Bench, step, task};
 
 #[test]
@@ -128,3 +128,21 @@
     bench.obey("a");
     assert_eq!(bench.vms["a"].runs.keys().filter(|run| run.task.job > 1).count(), 1);
 }
+
+/// Groups that ask for the same are weighed once in a plan, unless more than that decides.
+#[test]
+fn groups_that_look_alike_are_told_apart_where_their_own_tasks_decide() {
+    let apart = Step { most_per_worker: 1, ..step(2, 100) };
+    let gang = |tasks| Step { gang: true, ..step(tasks, 400) };
+    let cases: [(&str, [Step; 2], TaskName); 2] = [
+        ("each step has its own bound on a worker", [apart.clone(), apart], task(2, 0, 0)),
+        ("a smaller gang fits where a larger one does not", [gang(3), gang(2)], task(2, 0, 1)),
+    ];
+    for (name, [first, second], placed) in cases {
+        let mut bench = Bench::new().with_vm("a", 1_000);
+        bench.submit(1, vec![first]);
+        bench.submit(2, vec![second]);
+        bench.settle();
+        assert_eq!(bench.place_of(placed).as_deref(), Some("a"), "{name}");
+    }
+}
