Looks: only lives with a run that is not listed or has to stop are walked

Cause: ten times a second a leader walked all placed runs three times: for orders without effect, for runs that are not listed, for runs without a ticket.

Change: a life is left out once all of its placed runs are listed and should go on, and taken up again by a report, a start, an end (also of a gang's other task), a loss or a cancellation.

--- a/crates/pond-job/src/lead/absent.rs
+++ b/crates/pond-job/src/lead/absent.rs
@@ -40,7 +40,10 @@
         let known = std::mem::take(&mut self.absent);
         let mut absent = BTreeMap::new();
         let mut lines = 0;
-        for life in state.workers() {
+        let unknown = state.workers().filter(|life| !self.workers.contains_key(*life));
+        let lives: Vec<String> =
+            unknown.map(str::to_owned).chain(self.unsettled.iter().cloned()).collect();
+        for life in &lives {
             let worker = self.workers.get(life);
             let listed = |run: RunName| worker.is_some_and(|worker| worker.has_listed(run));
             for run in state.placed(life).filter(|run| !listed(*run)) {
--- a/crates/pond-job/src/lead/ask.rs
+++ b/crates/pond-job/src/lead/ask.rs
@@ -85,7 +85,8 @@
         now: Millis,
     ) -> BTreeMap<StepName, (BTreeSet<String>, Advice)> {
         let mut missing: BTreeMap<StepName, (BTreeSet<String>, Advice)> = BTreeMap::new();
-        for (life, worker) in &self.workers {
+        for life in &self.unsettled {
+            let Some(worker) = self.workers.get(life) else { continue };
             for run in state.placed(life).filter(|run| !worker.rows.contains_key(run)) {
                 let Some(advice) = state.job(run.task.job).and_then(|job| job.advice) else {
                     continue;
--- a/crates/pond-job/src/lead/mod.rs
+++ b/crates/pond-job/src/lead/mod.rs
@@ -103,6 +103,9 @@
     absent: BTreeMap<RunName, Absence>,
     /// Lives whose agents may need an order.
     dirty: BTreeSet<String>,
+    /// Lives of which a placed run may not be listed, or may have to stop; all others are settled. Looks
+    /// at what is due walk these alone.
+    unsettled: BTreeSet<String>,
     /// Candidates that are kept from plan to plan.
     board: Board,
     /// When this replica last looked at what is overdue.
@@ -134,6 +137,7 @@
             waits: BTreeMap::new(),
             absent: BTreeMap::new(),
             dirty: BTreeSet::new(),
+            unsettled: BTreeSet::new(),
             board: Board::default(),
             looked: Millis(0),
             written: now,
@@ -185,7 +189,15 @@
                 self.starting = None;
                 starts.iter().for_each(|start| self.touch(&start.worker));
             }
-            Change::Ended { worker, .. } => self.touch(worker),
+            Change::Ended { worker, ends, .. } => {
+                self.touch(worker);
+                // The end of one task of a gang stands for all of them.
+                let jobs: BTreeSet<u64> = ends.iter().map(|end| end.run.task.job).collect();
+                for id in jobs {
+                    let lives = placed_lives(state, id).map(str::to_owned);
+                    self.unsettled.extend(lives);
+                }
+            }
             Change::WorkerLost { worker, .. } => {
                 self.losing.remove(worker);
                 self.touch(worker);
@@ -210,18 +222,15 @@
 
     /// The workers that run something of a job get an order.
     fn touch_workers_of(&mut self, state: &State, id: u64) {
-        let Some(job) = state.job(id) else { return };
-        let tasks = job.times.iter().flatten().flatten();
-        for task in tasks {
-            if let Some(life) = &task.worker {
-                self.touch(life);
-            }
+        for life in placed_lives(state, id) {
+            self.touch(life);
         }
     }
 
     /// Something has changed on a life of a worker.
     fn touch(&mut self, life: &str) {
         self.dirty.insert(life.to_owned());
+        self.unsettled.insert(life.to_owned());
         self.board.touch(life);
     }
 
@@ -241,6 +250,7 @@
                 self.looked = now;
                 self.lose_silent(state, now);
                 self.forget_old(state, now);
+                self.leave_settled(state);
                 self.touch_unsettled(state, now);
                 self.note_absent(state, now);
                 self.ask_about_placed(state, now);
@@ -294,3 +304,9 @@
         self.outputs.push(Output::Propose(Change::Forget(old)));
     }
 }
+
+/// The lives of workers that have something of a job.
+fn placed_lives(state: &State, id: u64) -> impl Iterator<Item = &str> {
+    let times = state.job(id).into_iter().flat_map(|job| &job.times);
+    times.flatten().flatten().filter_map(|task| task.worker.as_deref())
+}
--- a/crates/pond-job/src/lead/order.rs
+++ b/crates/pond-job/src/lead/order.rs
@@ -17,9 +17,29 @@
 const BLAME_STEP_PERMILLE: u32 = 50;
 
 impl Leader {
+    /// Leaves out lives of which all placed runs are listed and should go on, until something of them
+    /// changes. (Looks that walked all runs three times took 0.7 ms at 300 workers and 5 at 1,200.)
+    pub(super) fn leave_settled(&mut self, state: &State) {
+        let mut unsettled = std::mem::take(&mut self.unsettled);
+        unsettled.retain(|life| !self.settled(state, life));
+        // Checked by all tests, not in releases.
+        if cfg!(debug_assertions) {
+            let left = |life: &&String| !unsettled.contains(*life) && !self.settled(state, life);
+            assert_eq!(self.workers.keys().find(left), None, "a life is taken for settled");
+        }
+        self.unsettled = unsettled;
+    }
+
+    /// Whether all runs placed on a life are listed by its worker and should go on.
+    fn settled(&self, state: &State, life: &str) -> bool {
+        let Some(worker) = self.workers.get(life) else { return true };
+        state.placed(life).all(|run| worker.has_listed(run) && self.wanted(state, run))
+    }
+
     /// Workers with runs that the agent does not know, or that should be gone.
     pub(super) fn touch_unsettled(&mut self, state: &State, now: Millis) {
-        for (life, worker) in &self.workers {
+        for life in &self.unsettled {
+            let Some(worker) = self.workers.get(life) else { continue };
             let due = |run: RunName| {
                 let wanted = self.wanted(state, run);
                 let missing = !worker.rows.contains_key(&run) || !wanted;
