Operators are not sent to a leader that is gone, and wait for the next one

Cause: a follower names its leader until its own election timer ends, up to a second after the leader's machine lost power. An operator who is sent there waits a second for nothing.

Ruled out: longer redirects (the operator follows two); proxying orders to the leader, which helps no more than naming it, as the wait is for an election.

Change: a leader that was not heard for 250 ms, or to which the link is down, is not named. The operator is held until a leader is known, 0.7 s at most, then told to come back (413, bounded to 64 that wait).

--- a/crates/pond-log/src/events.rs
+++ b/crates/pond-log/src/events.rs
@@ -119,6 +119,8 @@
     CONFIGURED = 411, Info, "a configuration is in force", "nothing";
     CONFIGURATION_REFUSED = 412, Warning, "a configuration was refused",
         "mend what the reason names and send it again";
+    NO_LEADER = 413, Warning, "an operator is told that nobody is known to lead now",
+        "nothing if it goes on after an election; else look at the control replicas";
     VIEW_IN_FORCE = 500, Debug, "a configuration is in force", "nothing";
     VIEW_GAP = 501, Info, "a step of the configuration was missing; all of it is asked for",
         "nothing";
--- a/crates/pond-quorum/src/core.rs
+++ b/crates/pond-quorum/src/core.rs
@@ -182,6 +182,11 @@
         self.leader.and_then(|id| self.lists.current().get(id))
     }
 
+    /// When this replica last heard from a leader; at its start as if it just had.
+    pub fn heard(&self) -> Option<Millis> {
+        self.heard
+    }
+
     /// The members in force.
     pub fn members(&self) -> &Members {
         self.lists.current()
--- a/crates/pond-replica/src/asks.rs
+++ b/crates/pond-replica/src/asks.rs
@@ -1,15 +1,13 @@
 //! Requests of callers and operators.
 
-use pond_job::{Change, Configuration, Reply, State};
+use pond_job::{Change, Reply, State};
 use pond_link::LinkKey;
 use pond_log::event;
 use pond_proto::Millis;
 use pond_proto::fleet::{Ask, Outcome, Submit, Target, Tell, Verb};
 use pond_proto::job::Phase;
 use pond_proto::wire::Body;
-use tokio::sync::oneshot;
 
-use crate::handle::Elsewhere;
 use crate::replica::Replica;
 use crate::waiting::Waiter;
 
@@ -88,26 +86,6 @@
         }
     }
 
-    /// An operator sends a configuration.
-    pub(crate) fn configure(
-        &mut self,
-        now: Millis,
-        configuration: Configuration,
-        reply: oneshot::Sender<Result<(), Elsewhere>>,
-    ) {
-        if !self.certain(now) || self.stopping.is_some() {
-            // The operator may have left.
-            let _ = reply.send(Err(self.elsewhere()));
-            return;
-        }
-        let held = self.state.configuration().map(|held| held.version);
-        if held.is_some_and(|held| held >= configuration.version) {
-            let _ = reply.send(Ok(()));
-            return;
-        }
-        self.propose(now, &Change::Configure(configuration), Waiter::Operator(reply));
-    }
-
     /// Tells who waited for a change what came of it.
     pub(crate) fn tell(&mut self, waiter: Waiter, reply: &Reply) {
         match waiter {
@@ -138,7 +116,7 @@
             }
             Waiter::Operator(reply) => {
                 // The operator may have left.
-                let _ = reply.send(Err(self.elsewhere()));
+                let _ = reply.send(Err(self.elsewhere(self.now())));
             }
             Waiter::Starts => {
                 if let Some(leader) = &mut self.leader {
--- a/crates/pond-replica/src/handle.rs
+++ b/crates/pond-replica/src/handle.rs
@@ -13,11 +13,17 @@
 }
 
 /// Something that an operator asks.
-pub enum Request {
+pub enum Order {
     /// Bring a configuration in force.
     Configure(Box<Configuration>, oneshot::Sender<Result<(), Elsewhere>>),
     /// Tell the configuration in force; none if there is none.
     Read(oneshot::Sender<Result<Option<String>, Elsewhere>>),
+}
+
+/// Something that comes from outside.
+pub enum Request {
+    /// An operator asks something.
+    Operator(Order),
     /// Further addresses of replicas.
     Learn(Vec<String>),
     /// The adviser answered the leader's question, or did not.
@@ -39,7 +45,7 @@
     /// See [`Elsewhere`].
     pub async fn configure(&self, configuration: Configuration) -> Result<(), Elsewhere> {
         let (reply, answer) = oneshot::channel();
-        let request = Request::Configure(Box::new(configuration), reply);
+        let request = Request::Operator(Order::Configure(Box::new(configuration), reply));
         if self.requests.send(request).await.is_err() {
             return Err(Elsewhere::Leader(None));
         }
@@ -52,7 +58,7 @@
     /// [`Elsewhere::Leader`] if this replica cannot be sure.
     pub async fn read(&self) -> Result<Option<String>, Elsewhere> {
         let (reply, answer) = oneshot::channel();
-        if self.requests.send(Request::Read(reply)).await.is_err() {
+        if self.requests.send(Request::Operator(Order::Read(reply))).await.is_err() {
             return Err(Elsewhere::Leader(None));
         }
         answer.await.unwrap_or(Err(Elsewhere::Leader(None)))
--- a/crates/pond-replica/src/lib.rs
+++ b/crates/pond-replica/src/lib.rs
@@ -10,6 +10,7 @@
 mod formation;
 mod handle;
 mod lead;
+mod operators;
 mod outputs;
 mod peers;
 mod replica;
--- /dev/null
+++ b/crates/pond-replica/src/operators.rs
@@ -0,0 +1,113 @@
+//! Operators' requests: answered by the leader, sent on to it by others, and held for a moment while
+//! nobody knows who leads.
+
+use pond_job::{Change, Configuration};
+use pond_log::event;
+use pond_proto::{Millis, Span};
+use tokio::sync::oneshot;
+
+use crate::handle::{Elsewhere, Order};
+use crate::replica::Replica;
+use crate::waiting::Waiter;
+
+/// A leader that was not heard for this long is not named to operators, in milliseconds: two and a half
+/// heartbeats. An operator who is sent to a machine that is gone waits a second for nothing. (After the
+/// loss of a leader's machine an order took 1.2 s, and one a quarter of a second later 2.2 s.)
+const NAMED_MS: Span = 250;
+
+/// An operator is held for this long at most until a leader is known, in milliseconds: most elections,
+/// and less than the second after which operators ask elsewhere.
+const HELD_MS: Span = 700;
+
+/// Operators that are held at most; more are told at once that nobody leads.
+const MOST_HELD: usize = 64;
+
+/// An operator who waits.
+pub(crate) struct Held {
+    order: Order,
+    until: Millis,
+}
+
+impl Replica {
+    /// An operator asks something.
+    pub(crate) fn operator(&mut self, now: Millis, order: Order) {
+        let decided = self.certain(now) || self.names_leader(now) || self.stopping.is_some();
+        if decided || self.held.len() >= MOST_HELD {
+            return self.answer_operator(now, order);
+        }
+        self.held.push(Held { order, until: now + HELD_MS });
+    }
+
+    /// Answers operators who were held once a leader is known, or time is up.
+    pub(crate) fn answer_held(&mut self, now: Millis) {
+        if self.held.is_empty() {
+            return;
+        }
+        let known = self.certain(now) || self.names_leader(now) || self.stopping.is_some();
+        let (due, held) =
+            std::mem::take(&mut self.held).into_iter().partition(|one| known || now >= one.until);
+        self.held = held;
+        let due: Vec<Held> = due;
+        for one in due {
+            self.answer_operator(now, one.order);
+        }
+    }
+
+    fn answer_operator(&mut self, now: Millis, order: Order) {
+        match order {
+            Order::Configure(configuration, reply) => self.configure(now, *configuration, reply),
+            Order::Read(reply) => {
+                let read = if self.certain(now) {
+                    Ok(self.state.configuration().map(|held| held.source.clone()))
+                } else {
+                    Err(self.elsewhere(now))
+                };
+                // The operator may have left.
+                let _ = reply.send(read);
+            }
+        }
+    }
+
+    /// Brings a configuration in force, if this replica leads.
+    fn configure(
+        &mut self,
+        now: Millis,
+        configuration: Configuration,
+        reply: oneshot::Sender<Result<(), Elsewhere>>,
+    ) {
+        if !self.certain(now) || self.stopping.is_some() {
+            // The operator may have left.
+            let _ = reply.send(Err(self.elsewhere(now)));
+            return;
+        }
+        let held = self.state.configuration().map(|held| held.version);
+        if held.is_some_and(|held| held >= configuration.version) {
+            let _ = reply.send(Ok(()));
+            return;
+        }
+        self.propose(now, &Change::Configure(configuration), Waiter::Operator(reply));
+    }
+
+    /// Whether another replica surely led a moment ago and can be reached.
+    fn names_leader(&self, now: Millis) -> bool {
+        self.leader_address(now).is_some()
+    }
+
+    fn leader_address(&self, now: Millis) -> Option<&str> {
+        let leader = self.core.leader().filter(|leader| leader.id != self.core.id())?;
+        let heard = self.core.heard().is_some_and(|heard| now.since(heard) < NAMED_MS);
+        let reached = self.peers.down_since(&leader.address).is_none();
+        (heard && reached).then_some(leader.address.as_str())
+    }
+
+    /// Where an operator should ask instead.
+    pub(crate) fn elsewhere(&self, now: Millis) -> Elsewhere {
+        let leader = self.leader_address(now).map(str::to_owned);
+        if leader.is_none() {
+            let named = self.core.leader().map_or(String::new(), |leader| leader.address.clone());
+            event!(self.log, NO_LEADER, "named" => named,
+                "heard_ms" => self.core.heard().map_or(0, |heard| now.since(heard)));
+        }
+        Elsewhere::Leader(leader)
+    }
+}
--- a/crates/pond-replica/src/replica.rs
+++ b/crates/pond-replica/src/replica.rs
@@ -19,7 +19,8 @@
 
 use crate::adviser::Adviser;
 use crate::formation::Formation;
-use crate::handle::{Elsewhere, Handle, Request};
+use crate::handle::{Handle, Request};
+use crate::operators::Held;
 use crate::peers::Peers;
 use crate::waiting::{Waiter, Waiting};
 
@@ -89,6 +90,8 @@
     pub(crate) peers: Peers,
     pub(crate) guests: BTreeMap<LinkKey, Guest>,
     pub(crate) waiting: Waiting,
+    /// Operators who wait until it is known who leads.
+    pub(crate) held: Vec<Held>,
     /// There while this replica leads.
     pub(crate) leader: Option<Leader>,
     /// What those who are linked were last told about the lead.
@@ -141,6 +144,7 @@
             peers,
             guests: BTreeMap::new(),
             waiting: Waiting::default(),
+            held: Vec::new(),
             leader: None,
             told: None,
             metrics,
@@ -184,6 +188,7 @@
             self.lead(now);
             self.carry_out()?;
             self.tell_who_leads(now);
+            self.answer_held(now);
             if self.may_end(now) {
                 return Ok(());
             }
@@ -209,16 +214,7 @@
     fn request(&mut self, request: Request) {
         let now = self.now();
         match request {
-            Request::Configure(configuration, reply) => self.configure(now, *configuration, reply),
-            Request::Read(reply) => {
-                let read = if self.certain(now) {
-                    Ok(self.state.configuration().map(|held| held.source.clone()))
-                } else {
-                    Err(self.elsewhere())
-                };
-                // The operator may have left.
-                let _ = reply.send(read);
-            }
+            Request::Operator(order) => self.operator(now, order),
             Request::Learn(addresses) => self.peers.learn(&addresses),
             Request::Advised(question, permits) => {
                 if let Some(leader) = &mut self.leader {
@@ -236,11 +232,6 @@
             && self.core.lease_until().is_some_and(|until| now < until)
     }
 
-    pub(crate) fn elsewhere(&self) -> Elsewhere {
-        let other = self.core.leader().filter(|leader| leader.id != self.core.id());
-        Elsewhere::Leader(other.map(|leader| leader.address.clone()))
-    }
-
     /// Proposes a change.
     pub(crate) fn propose(&mut self, now: Millis, change: &Change, waiter: Waiter) {
         if self.abstains() {
--- a/crates/pond-replica/tests/support/mod.rs
+++ b/crates/pond-replica/tests/support/mod.rs
@@ -1,4 +1,5 @@
 //! Replicas on disks in memory, with links on loopback.
+#![allow(dead_code)]
 
 use std::future::{Future, ready};
 use std::net::SocketAddr;
@@ -11,6 +12,7 @@
 use pond_replica::{Adviser, Handle, Replica, Settings};
 use pond_store::{Memory, Store};
 use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
 /// Within this time replicas must be linked again and have a leader: two silences of 0.8 s and an
@@ -34,13 +36,23 @@
     }
 }
 
-/// Starts a replica that the others reach at `internal`, on a disk.
+/// Starts a replica that goes on until the test ends.
 pub fn start(
     internal: SocketAddr,
     seeds: &[SocketAddr],
     listener: TcpListener,
     disk: Memory,
 ) -> Handle {
+    start_task(internal, seeds, listener, disk).0
+}
+
+/// Starts a replica that the others reach at `internal`, on a disk; how to ask it, and its task.
+pub fn start_task(
+    internal: SocketAddr,
+    seeds: &[SocketAddr],
+    listener: TcpListener,
+    disk: Memory,
+) -> (Handle, JoinHandle<()>) {
     let settings = Settings {
         internal,
         seeds: seeds.iter().map(SocketAddr::to_string).collect(),
@@ -53,8 +65,8 @@
     let adviser = Arc::new(Nobody);
     let started = Replica::start(settings, files, listener, adviser, Instant::now(), metrics, log);
     let (replica, handle) = started.expect("it starts");
-    tokio::spawn(replica.run());
-    handle
+    let task = tokio::spawn(async move { replica.run().await.expect("its files last") });
+    (handle, task)
 }
 
 /// Waits until a replica is sure that it leads.
