Control of units: a full disk ends no replica there either; one translation from outputs to what must last

Cause: pond-control had its own way from the quorum's outputs to files and ended on any error, a full disk among them.

What of an output must last is said once, beside the outputs, for both replicas and the schedules' cluster.

Tests: pond-quorum, pond-store, pond-replica and pond-control pass (22 schedules, full disks among them). pond-control has no test of a full disk of its own: it shares the Writer and the conduct that the schedules check.

--- a/crates/pond-control/src/process.rs
+++ b/crates/pond-control/src/process.rs
@@ -13,7 +13,7 @@
 use pond_proto::quorum::Member;
 use pond_proto::wire::Role;
 use pond_settings::{Process as Settings, Role as SettingsRole};
-use pond_store::{Folder, Store};
+use pond_store::{Folder, Store, Writer};
 use tokio::sync::mpsc;
 
 use crate::clock::Clock;
@@ -70,7 +70,7 @@
         let parts = Parts {
             name: settings.name.clone(),
             replicas: settings.replicas.clone(),
-            store,
+            writer: Writer::new(store),
             recovered,
             member,
             ring: inputs,
--- a/crates/pond-control/src/replica/leading.rs
+++ b/crates/pond-control/src/replica/leading.rs
@@ -28,7 +28,7 @@
     // Leading.
 
     pub(super) fn lead(&mut self, now: Millis) {
-        if !self.core.ready() {
+        if !self.core.ready() || self.abstains() {
             return;
         }
         if self.duty.is_none() {
@@ -131,7 +131,7 @@
         }
         self.beat = now;
         let leader = self.core.leader().map(|leader| leader.address.clone()).unwrap_or_default();
-        let leads = self.core.ready() && self.stopping.is_none();
+        let leads = self.core.ready() && self.stopping.is_none() && !self.abstains();
         let news = (leader.clone(), self.core.term());
         let due = self.told != news || now.since(self.told_at) >= TOLD_MS;
         if due && (leads || self.core.role() != Role::Leader) {
--- a/crates/pond-control/src/replica/mod.rs
+++ b/crates/pond-control/src/replica/mod.rs
@@ -14,13 +14,13 @@
 use pond_link::{LinkKey, Sender};
 use pond_log::{Logger, event};
 use pond_platform::Usage;
-use pond_proto::quorum::Members;
+use pond_proto::quorum::{Letter, Members};
 use pond_proto::wire::Role as WireRole;
 use pond_proto::{Millis, Span};
 use pond_quorum::{Core, Input as QuorumInput, Role, SnapshotImage, Start, Tuning};
 use pond_sched::{Measured, Scheduler};
 use pond_state::{Change, State};
-use pond_store::{Recovered, Store};
+use pond_store::{Recovered, Writer};
 use tokio::sync::mpsc;
 
 use crate::clock::Clock;
@@ -43,8 +43,8 @@
     pub name: String,
     /// Names and operators' addresses of all replicas.
     pub replicas: Vec<pond_settings::Replica>,
-    /// The durable files.
-    pub store: Store,
+    /// Writes the durable files; letters wait in it for what must last before them.
+    pub writer: Writer<Letter>,
     /// What they held.
     pub recovered: Recovered,
     /// This replica as a member.
@@ -171,7 +171,10 @@
                 return Ok(());
             }
             let now = self.parts.clock.now();
-            self.core.step(now, QuorumInput::Tick);
+            // A candidate whose vote for itself cannot last can win nothing.
+            if !self.abstains() || self.core.role() == Role::Leader {
+                self.core.step(now, QuorumInput::Tick);
+            }
             self.carry_out()?;
             self.lead(now);
             self.carry_out()?;
--- a/crates/pond-control/src/replica/orders.rs
+++ b/crates/pond-control/src/replica/orders.rs
@@ -61,7 +61,7 @@
         if own {
             self.own.insert(ticket, change);
         }
-        if !self.core.ready() {
+        if !self.core.ready() || self.abstains() {
             self.reject(ticket);
             return;
         }
--- a/crates/pond-control/src/replica/outputs.rs
+++ b/crates/pond-control/src/replica/outputs.rs
@@ -22,52 +22,61 @@
     // Outputs of the quorum.
 
     pub(super) fn carry_out(&mut self) -> Result<(), pond_store::Error> {
+        if self.parts.writer.full() {
+            self.write()?;
+        }
         loop {
             let outputs = self.core.outputs(self.parts.clock.now());
             if outputs.is_empty() {
                 return Ok(());
             }
-            let persisted = self.persist(&outputs)?;
+            for output in &outputs {
+                match output {
+                    Output::Send(letter) => self.send(letter.clone()),
+                    Output::SendDurable(letter) => self.parts.writer.then(letter.clone()),
+                    other => {
+                        other.write().into_iter().for_each(|write| self.parts.writer.put(write));
+                    }
+                }
+            }
+            self.write()?;
             for output in outputs {
                 self.output(output)?;
             }
-            if persisted {
-                self.core.step(self.parts.clock.now(), QuorumInput::Persisted);
-            }
         }
     }
 
-    /// Sends what need not wait, then writes and syncs what must last.
-    pub(super) fn persist(&mut self, outputs: &[Output]) -> Result<bool, pond_store::Error> {
-        for output in outputs {
-            if let Output::Send(letter) = output {
-                self.send(letter.clone());
-            }
-            if let Output::Install { image, keeps_log } = output {
-                let snapshot =
-                    Snapshot { head: image.head.clone(), data: image.data.as_ref().clone() };
-                if *keeps_log {
-                    self.parts.store.save(&snapshot)?;
-                } else {
-                    self.parts.store.replace(&snapshot)?;
-                }
-            }
+    /// Writes what must last, and does what may follow. While the disk is full, this replica abstains.
+    fn write(&mut self) -> Result<(), pond_store::Error> {
+        let was_full = self.parts.writer.full();
+        let flushed = self.parts.writer.flush()?;
+        for letter in flushed.then {
+            self.send(letter);
         }
-        let mut wrote = false;
-        for output in outputs {
-            if let Output::Persist { hard, entries } = output {
-                self.parts.store.append(*hard, entries)?;
-                wrote = true;
-            }
+        let now = self.parts.clock.now();
+        if flushed.lasts {
+            self.core.step(now, QuorumInput::Persisted);
+        }
+        let full = self.parts.writer.full();
+        if full && !was_full {
+            let free = self.parts.writer.store().free_bytes();
+            event!(self.parts.log, DISK_FULL, "waiting" => self.parts.writer.len(),
+                "free_bytes" => free.map_or("unknown".to_owned(), |free| free.to_string()));
+            self.core.step(now, QuorumInput::HandOver);
+        } else if was_full && !full {
+            event!(self.parts.log, DISK_ROOM);
         }
-        self.parts.store.sync()?;
-        Ok(wrote)
+        Ok(())
+    }
+
+    /// Whether this replica can neither lead nor vote now, as its disk is full.
+    pub(super) fn abstains(&self) -> bool {
+        self.parts.writer.full()
     }
 
     pub(super) fn output(&mut self, output: Output) -> Result<(), pond_store::Error> {
         match output {
-            Output::Persist { .. } | Output::Send(_) => {}
-            Output::SendDurable(letter) => self.send(letter),
+            Output::Persist { .. } | Output::Send(_) | Output::SendDurable(_) => {}
             Output::Appended { ticket, index, term } => {
                 self.tickets.appended(ticket, index, term);
                 if let Some(change) = self.own.remove(&ticket) {
@@ -151,7 +160,10 @@
         let data = self.state.encode();
         self.checksum = (index, self.state.checksum());
         let snapshot = Snapshot { head: head.clone(), data };
-        self.parts.store.save(&snapshot)?;
+        // Without room the next one is tried; the log grows meanwhile.
+        if !self.parts.writer.save(&snapshot)? {
+            return Ok(());
+        }
         event!(self.parts.log, SNAPSHOT, "index" => index, "bytes" => snapshot.data.len());
         let image = SnapshotImage { head, data: Arc::new(snapshot.data) };
         self.core.step(self.parts.clock.now(), QuorumInput::Compact(image));
--- a/crates/pond-quorum/src/io.rs
+++ b/crates/pond-quorum/src/io.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use pond_proto::quorum::{Entry, Hard, Letter, Member, Members, SnapshotHead};
+use pond_store::{Snapshot, Write};
 
 /// Names something that the shell asked for, so that it can match the answer.
 pub type Ticket = u64;
@@ -113,3 +114,20 @@
     /// The members changed.
     MembersChanged(Members),
 }
+
+impl Output {
+    /// What of it must last, as the writer of the durable files takes it.
+    pub fn write(&self) -> Option<Write> {
+        match self {
+            Output::Persist { hard, entries } => {
+                Some(Write::Batch { hard: *hard, entries: entries.clone() })
+            }
+            Output::Install { image, keeps_log } => {
+                let data = image.data.as_ref().clone();
+                let snapshot = Snapshot { head: image.head.clone(), data };
+                Some(Write::Snapshot { snapshot, keeps_log: *keeps_log })
+            }
+            _ => None,
+        }
+    }
+}
--- a/crates/pond-replica/src/outputs.rs
+++ b/crates/pond-replica/src/outputs.rs
@@ -8,7 +8,7 @@
 use pond_proto::quorum::{Entry, Kind};
 use pond_proto::{Millis, Span};
 use pond_quorum::{Input, Output, Role, SnapshotImage};
-use pond_store::{Error, Snapshot, Write};
+use pond_store::{Error, Snapshot};
 
 use crate::handle::Elsewhere;
 use crate::replica::Replica;
@@ -51,15 +51,7 @@
         match output {
             Output::Send(letter) => self.peers.send(letter.clone()),
             Output::SendDurable(letter) => self.writer.then(letter.clone()),
-            Output::Persist { hard, entries } => {
-                self.writer.put(Write::Batch { hard: *hard, entries: entries.clone() });
-            }
-            Output::Install { image, keeps_log } => {
-                let data = image.data.as_ref().clone();
-                let snapshot = Snapshot { head: image.head.clone(), data };
-                self.writer.put(Write::Snapshot { snapshot, keeps_log: *keeps_log });
-            }
-            _ => {}
+            other => other.write().into_iter().for_each(|write| self.writer.put(write)),
         }
     }
 
--- a/crates/pond-test/src/cluster.rs
+++ b/crates/pond-test/src/cluster.rs
@@ -11,7 +11,7 @@
 use pond_proto::Millis;
 use pond_proto::quorum::{Entry, Kind, Letter, Member, Members};
 use pond_quorum::{Core, Input, Output, Role, SnapshotImage, Start, Tuning};
-use pond_store::{Crash, Memory, Snapshot, Store, Write, Writer};
+use pond_store::{Crash, Memory, Snapshot, Store, Writer};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -520,14 +520,7 @@
         let Some(writer) = running.map(|running| &mut running.writer) else { return };
         match output {
             Output::SendDurable(letter) => writer.then(letter.clone()),
-            Output::Persist { hard, entries } => {
-                writer.put(Write::Batch { hard: *hard, entries: entries.clone() });
-            }
-            Output::Install { image, keeps_log } => {
-                let snapshot = Snapshot { head: image.head.clone(), data: image.data.to_vec() };
-                writer.put(Write::Snapshot { snapshot, keeps_log: *keeps_log });
-            }
-            _ => {}
+            other => other.write().into_iter().for_each(|write| writer.put(write)),
         }
     }
 
