--- a/crates/pond-job/src/lead/ask.rs
+++ b/crates/pond-job/src/lead/ask.rs
@@ -20,7 +20,6 @@
 impl Leader {
     /// The adviser answered a question, or did not.
     pub fn advised(&mut self, now: Millis, question: &Question, permits: Option<Vec<Permit>>) {
-        self.news = true;
         self.adviser.answer(now, question, permits);
     }
 
--- a/crates/pond-job/src/lead/mod.rs
+++ b/crates/pond-job/src/lead/mod.rs
@@ -80,10 +80,6 @@
     workers: BTreeMap<String, Worker>,
     /// How sound workers are, by agent: it outlasts their lives.
     health: BTreeMap<String, Health>,
-    /// No plan is made before, unless there is news.
-    plan_due: Millis,
-    /// Since the last plan something came that may give waiting tasks a place, besides figures.
-    news: bool,
     /// Start proposals on their way, and when the last was made.
     starting: Option<Millis>,
     /// Lives whose loss is proposed. They get no order until it is in the log: a run that starts or
@@ -130,8 +126,6 @@
             terms,
             workers: BTreeMap::new(),
             health: BTreeMap::new(),
-            plan_due: now,
-            news: true,
             starting: None,
             losing: BTreeMap::new(),
             unwanted: BTreeSet::new(),
@@ -168,7 +162,6 @@
         self.replace_former_lives(state, now, agent, &life);
         if !self.workers.contains_key(&life) {
             let worker = life.clone();
-            self.news = true;
             self.outputs.push(Output::Decided(Decision::WorkerUp { worker }));
         }
         let worker = self.workers.entry(life.clone()).or_insert_with(|| Worker::new(agent));
@@ -191,7 +184,6 @@
 
     /// A change was applied; whatever it concerns is looked at again.
     pub fn applied(&mut self, state: &State, now: Millis, change: &Change, reply: &Reply) {
-        self.news = true;
         match change {
             Change::Start(starts) => {
                 self.starting = None;
@@ -225,7 +217,6 @@
 
     /// A start proposal could not be made.
     pub fn start_rejected(&mut self) {
-        self.news = true;
         self.starting = None;
     }
 
--- a/crates/pond-job/src/lead/plan.rs
+++ b/crates/pond-job/src/lead/plan.rs
@@ -21,11 +21,6 @@
 /// faults the same.)
 const GATHER_MS: Span = 150;
 
-/// Least time between plans while nothing but figures is new, in milliseconds. While work waits that finds
-/// no place, each report would make a plan, some five hundred a second at 300 workers. What the log
-/// brings, a new worker and an adviser's answer are planned for at once.
-const PLAN_MS: Span = 10;
-
 /// A new leader plans nothing for this long, in milliseconds: by then most agents have found it, and
 /// their workers do not all get what the first of them could.
 const FIRST_PLAN_MS: Span = 200;
@@ -47,9 +42,6 @@
         if now.since(self.since) < FIRST_PLAN_MS {
             return;
         }
-        if now < self.plan_due && !self.news {
-            return;
-        }
         let mut ready = ready(state, now, wall, &mut self.harm);
         let mut later = Vec::new();
         if self.gathers(state, now, &ready) {
@@ -62,8 +54,6 @@
             }
             return;
         }
-        self.plan_due = now + PLAN_MS;
-        self.news = false;
         let mut candidates = self.candidates(state, now);
         let mut starts = Vec::new();
         let mut blocked = Vec::new();
@@ -97,11 +87,6 @@
         }
     }
 
-    /// When the next plan may be made; it is in the past when nothing was planned lately.
-    pub fn plan_due(&self) -> Millis {
-        self.plan_due
-    }
-
     /// Whether serving tasks wait: for others that come about then, so that they are packed
     /// together, or for workers that this replica has not heard of yet. Filling tasks wait with them: those
     /// that took the workers meanwhile were moved within a second, 396 of them after a restart of 76 workers.
--- a/crates/pond-job/tests/placement.rs
+++ b/crates/pond-job/tests/placement.rs
@@ -168,26 +168,3 @@
     assert_eq!(bench.place_of(task(SERVING, 0, 0)).as_deref(), Some("a"));
     assert_eq!(bench.place_of(task(2, 0, 0)).as_deref(), Some("a"));
 }
-
-/// Reports come five hundred a second from 300 workers; while work waits without room, each would make a
-/// plan that finds the same.
-#[test]
-fn reports_alone_make_no_more_than_a_plan_each_ten_milliseconds() {
-    let mut bench = Bench::new().with_vm("a", 1_000);
-    bench.submit(1, vec![step(1, 2_000)]);
-    bench.settle();
-    let due = bench.leader.plan_due();
-    assert_eq!(due, bench.now + 10);
-    bench.now = bench.now + 9;
-    bench.report("a");
-    bench.settle();
-    assert_eq!(bench.leader.plan_due(), due, "a report made a plan");
-    // What the log brings is planned for at once.
-    bench.submit(2, vec![step(1, 500)]);
-    bench.settle();
-    assert_eq!(bench.place_of(task(2, 0, 0)).as_deref(), Some("a"));
-    bench.now = bench.now + 20;
-    bench.report("a");
-    bench.settle();
-    assert_eq!(bench.leader.plan_due(), bench.now + 10);
-}
--- a/crates/pond-replica/src/replica.rs
+++ b/crates/pond-replica/src/replica.rs
@@ -196,19 +196,11 @@
         }
     }
 
-    /// How long to wait for inputs, in milliseconds: until a look is due, or a plan that was put off.
-    fn idle_ms(&self) -> u64 {
-        let now = self.now();
-        let plan = self.leader.as_ref().map(Leader::plan_due).filter(|due| *due > now);
-        plan.map_or(TICK_MS, |due| due.since(now).min(TICK_MS))
-    }
-
     async fn take_inputs(&mut self) {
-        let idle = sleep(Duration::from_millis(self.idle_ms()));
         tokio::select! {
             Some(event) = self.links.recv() => self.link(event),
             Some(request) = self.requests.recv() => self.request(request),
-            () = idle => {}
+            () = sleep(Duration::from_millis(TICK_MS)) => {}
         }
         for _ in 0..BATCH {
             let Ok(event) = self.links.try_recv() else { break };
