--- a/crates/pond-agent/src/core/answers.rs
+++ b/crates/pond-agent/src/core/answers.rs
@@ -57,6 +57,9 @@
             self.new_life(now, "");
             return;
         }
+        if !matches!(answer.reply, Reply::Unknown | Reply::NotSent) {
+            self.alive = now;
+        }
         self.note_clock(now, answer.clock_ms.unwrap_or(0));
         match call {
             Call::Start { run, .. } => self.start_answer(now, *run, &answer.reply),
@@ -71,9 +74,17 @@
         let Some(run) = self.runs.get_mut(&name).filter(|run| !run.stops()) else { return };
         run.calling = false;
         let Phase::Starting { tries, .. } = &mut run.phase else { return };
+        if *reply == Reply::NotSent {
+            run.sent = run.sent.saturating_sub(1);
+        }
         match reply {
-            Reply::Done => run.phase = Phase::Running,
-            Reply::Unknown | Reply::Refused(Refusal::Unwell) if *tries + 1 < START_TRIES => {
+            Reply::Done => {
+                run.phase = Phase::Running;
+                run.is_there(now);
+            }
+            Reply::Unknown | Reply::NotSent | Reply::Refused(Refusal::Unwell)
+                if *tries + 1 < START_TRIES =>
+            {
                 *tries += 1;
                 run.due = now + wait_again_ms(&mut run.fails);
             }
@@ -170,6 +181,7 @@
                 _ => {}
             }
             run.seen = Some(self.looks);
+            run.is_there(now);
             run.row = row;
         }
     }
--- a/crates/pond-agent/src/core/claim.rs
+++ b/crates/pond-agent/src/core/claim.rs
@@ -70,7 +70,7 @@
         let Some(found) = found else { return };
         match answer.reply {
             // Its next registration asks again.
-            Reply::Unknown => self.claims[found].asked = false,
+            Reply::Unknown | Reply::NotSent => self.claims[found].asked = false,
             Reply::OtherLife => {
                 self.claims.remove(found);
                 self.remember_over(life.to_owned());
--- a/crates/pond-agent/src/core/due.rs
+++ b/crates/pond-agent/src/core/due.rs
@@ -79,13 +79,16 @@
                 continue;
             }
             let call = match &run.phase {
-                Phase::Starting { order, .. } => Call::Start {
-                    run: *name,
-                    text: order.text.clone(),
-                    save: order.save.clone(),
-                    ticket: order.ticket.clone(),
-                    lease_end_ms,
-                },
+                Phase::Starting { order, .. } => {
+                    run.sent += 1;
+                    Call::Start {
+                        run: *name,
+                        text: order.text.clone(),
+                        save: order.save.clone(),
+                        ticket: order.ticket.clone(),
+                        lease_end_ms,
+                    }
+                }
                 Phase::Stopping => Call::Stop { run: *name },
                 _ => continue,
             };
@@ -155,8 +158,9 @@
             clock_ms: self.clock_ms,
             answers: self.answered && now.since(self.listed) < SILENT_MS,
             gone: false,
-            runs: self.runs.values().map(|run| run.row.clone()).collect(),
+            runs: self.rows(),
             ends: self.ends.values().cloned().collect(),
+            left: false,
             unstarted: self.unstarted.iter().copied().collect(),
             data_centre: worker.data_centre.clone(),
             remaining_ms: worker.remaining_ms,
--- a/crates/pond-agent/src/core/mod.rs
+++ b/crates/pond-agent/src/core/mod.rs
@@ -11,7 +11,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use pond_proto::fleet::{EndRow, Order, Report, StartOrder};
+use pond_proto::fleet::{EndRow, Order, Report, RunRow, StartOrder};
 use pond_proto::job::RunName;
 use pond_proto::{Millis, Size};
 
@@ -69,13 +69,23 @@
     Report(Report),
 }
 
+/// A life that is over, and what is known of its end.
+#[derive(Clone, Debug)]
+struct Former {
+    life: String,
+    /// It had said that it would leave.
+    left: bool,
+    /// The runs that it had at last.
+    rows: Vec<RunRow>,
+}
+
 /// The agent's state.
 #[derive(Debug, Default)]
 pub struct Core {
     /// The life of the worker that has answered a call.
     worker: Option<Registration>,
     /// The life before this one.
-    former: Option<String>,
+    former: Option<Former>,
     /// Lives that are over.
     over: VecDeque<String>,
     /// Lives that have registered and not answered yet.
@@ -101,6 +111,8 @@
     listed: Millis,
     /// This life has listed.
     answered: bool,
+    /// When this life last answered a call.
+    alive: Millis,
     reported: Millis,
     /// There is something to report at once.
     news: bool,
@@ -157,10 +169,14 @@
 
     /// Forgets all of the former life; none is known if `life` is empty.
     fn new_life(&mut self, now: Millis, life: &str) {
-        let before = self.worker.take().map(|worker| worker.life);
-        let before = before.filter(|before| before != life);
-        if let Some(before) = before.clone() {
-            self.remember_over(before);
+        let before = self.worker.take().filter(|before| before.life != life);
+        let before = before.map(|before| Former {
+            life: before.life,
+            left: before.draining,
+            rows: self.rows(),
+        });
+        if let Some(before) = &before {
+            self.remember_over(before.life.clone());
         }
         *self = Core {
             former: before.or(self.former.take()),
@@ -192,14 +208,23 @@
     pub fn leaves(&mut self, now: Millis, life: &str) {
         self.claims.retain(|claim| !claim.is_of(life));
         if self.life() == Some(life) {
+            if let Some(worker) = &mut self.worker {
+                worker.draining = true;
+            }
             self.new_life(now, "");
         }
     }
 
-    /// Tells the leader that nothing of the former life runs any more.
+    /// Tells the leader that nothing of the former life runs any more, and how it ended.
     fn report_former(&mut self) {
-        let Some(worker) = self.former.clone() else { return };
-        self.outputs.push(Output::Report(Report { worker, gone: true, ..Report::default() }));
+        let Some(Former { life, left, rows }) = self.former.clone() else { return };
+        let report = Report { worker: life, gone: true, left, runs: rows, ..Report::default() };
+        self.outputs.push(Output::Report(report));
+    }
+
+    /// What to report of the runs.
+    fn rows(&self) -> Vec<RunRow> {
+        self.runs.values().map(|run| run.row(self.alive)).collect()
     }
 
     /// There is a link to a leader that may know nothing of this agent.
--- a/crates/pond-agent/src/run.rs
+++ b/crates/pond-agent/src/run.rs
@@ -42,6 +42,10 @@
     /// Number of the last list that was asked for when the worker last listed it as running; none if
     /// it never did.
     pub seen: Option<u64>,
+    /// When it was first known to be at the worker: its start was confirmed, or it was listed.
+    pub began: Option<Millis>,
+    /// Calls to start it that may have reached the worker.
+    pub sent: u32,
     /// How to watch it, as far as known.
     pub watch: Option<Watch>,
     /// What the worker was last told about its pace, in percent; not known of runs that were there
@@ -53,7 +57,31 @@
     /// A run of which the worker has said nothing yet; the first call about it is due at `now`.
     pub fn new(name: RunName, phase: Phase, watch: Option<Watch>, now: Millis) -> Run {
         let row = RunRow { run: name, unlisted: true, ..RunRow::default() };
-        Run { phase, calling: false, due: now, fails: 0, row, seen: None, watch, pace: Some(100) }
+        Run {
+            phase,
+            calling: false,
+            due: now,
+            fails: 0,
+            row,
+            seen: None,
+            began: None,
+            sent: 0,
+            watch,
+            pace: Some(100),
+        }
+    }
+
+    /// It is at the worker, by what the worker says now.
+    pub fn is_there(&mut self, now: Millis) {
+        self.began.get_or_insert(now);
+    }
+
+    /// What to report of it, if its worker last answered anything at `alive`.
+    pub fn row(&self, alive: Millis) -> RunRow {
+        let lived = self.began.map_or(0, |began| alive.since(began));
+        let lived_ms = u32::try_from(lived).unwrap_or(u32::MAX);
+        let unsent = self.sent == 0 && self.began.is_none();
+        RunRow { lived_ms, unsent, ..self.row.clone() }
     }
 
     /// It should stop from now on. The call does not wait for the answer to one that is on its way:
--- a/crates/pond-agent/src/worker.rs
+++ b/crates/pond-agent/src/worker.rs
@@ -97,6 +97,8 @@
     OtherLife,
     /// There is no answer; it may have been done, or may still be.
     Unknown,
+    /// Nothing of the call reached the worker, as nobody takes calls at its address.
+    NotSent,
 }
 
 /// A worker's answer.
--- a/crates/pond-agent/tests/core.rs
+++ b/crates/pond-agent/tests/core.rs
@@ -319,3 +319,33 @@
     bench.list(&[1], &[]);
     assert!(bench.obey_paces().is_empty());
 }
+
+#[test]
+fn end_of_a_life_is_told_with_what_ran_there_and_for_how_long_it_was_known_to() {
+    let mut bench = Bench::new();
+    bench.start(0);
+    bench.answer(is_start, Reply::Done);
+    bench.pass(600);
+    bench.list(&[0], &[]);
+    bench.start(1);
+    bench.answer(is_start, Reply::NotSent);
+    bench.start(2);
+    bench.answer(is_start, Reply::Unknown);
+    bench.start(3);
+    bench.answer(is_look, Reply::OtherLife);
+    bench.pass(1);
+    let last = bench.gone();
+    assert!(!last.left);
+    let told: Vec<_> =
+        last.runs.iter().map(|row| (row.run.task.index, row.lived_ms, row.unsent)).collect();
+    assert_eq!(told, [(0, 600, false), (1, 0, true), (2, 0, false), (3, 0, false)]);
+}
+
+#[test]
+fn life_that_left_as_planned_is_told_as_such() {
+    let mut bench = Bench::new();
+    bench.start(0);
+    bench.core.leaves(bench.now, LIFE);
+    bench.pass(1);
+    assert!(bench.gone().left);
+}
--- a/crates/pond-agent/tests/support/mod.rs
+++ b/crates/pond-agent/tests/support/mod.rs
@@ -169,6 +169,11 @@
         self.calls.iter().filter(|(_, call)| wanted(call)).count()
     }
 
+    /// The newest report that a life is over.
+    pub fn gone(&self) -> &Report {
+        self.reports.iter().rev().find(|report| report.gone).expect("no life is over")
+    }
+
     pub fn last(&self) -> &Report {
         self.reports.last().expect("no report")
     }
--- a/crates/pond-job/src/lead/ends.rs
+++ b/crates/pond-job/src/lead/ends.rs
@@ -2,22 +2,33 @@
 
 use std::collections::BTreeSet;
 
-use pond_proto::Millis;
 use pond_proto::fleet::{EndRow, Report};
 use pond_proto::job::{How, RunName};
+use pond_proto::{Millis, Span};
 
 use super::worker::Worker;
-use super::{Decision, Leader, Output, PROPOSE_AGAIN_MS};
+use super::{Decision, Leader, Lost, Output, PROPOSE_AGAIN_MS};
 use crate::change::{Change, End};
 use crate::state::State;
 
 /// The loss of a worker that is proposed.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Loss {
     /// When it was last proposed.
     at: Millis,
-    /// Whether the life is over; if not, its lease has run out.
-    over: bool,
+    why: Lost,
+    /// The runs that had their place there.
+    last: Vec<Last>,
+}
+
+/// What was known at last of a run on a lost life.
+#[derive(Clone, Debug)]
+pub(super) struct Last {
+    run: RunName,
+    /// For how long the worker was known to have lived on with the run, in milliseconds; none if no
+    /// call to start it can have reached the worker.
+    lived_ms: Option<Span>,
+    save: String,
 }
 
 impl Leader {
@@ -36,14 +47,17 @@
         let logged = state.lives_beside(agent).filter(|other| *other != life);
         let former: BTreeSet<String> = known.chain(logged).map(str::to_owned).collect();
         for other in former {
-            self.over(state, now, &other);
+            self.over(state, now, &other, None);
         }
     }
 
-    /// A life of a worker is over, so nothing of it runs.
-    pub(super) fn over(&mut self, state: &State, now: Millis, life: &str) {
+    /// A life of a worker is over, so nothing of it runs. Its agent may have told of its end.
+    pub(super) fn over(&mut self, state: &State, now: Millis, life: &str, end: Option<&Report>) {
         if state.placed(life).next().is_some() || state.settled(life) > 0 {
-            self.propose_lost(state, now, life, true);
+            let left = end.is_some_and(|end| end.left)
+                || self.workers.get(life).is_some_and(|worker| worker.draining);
+            let why = if left { Lost::Left } else { Lost::Crashed };
+            self.propose_lost(state, now, life, why, end);
         }
         self.workers.remove(life);
     }
@@ -59,35 +73,70 @@
             .map(str::to_owned)
             .collect();
         for life in silent {
-            self.propose_lost(state, now, &life, false);
+            self.propose_lost(state, now, &life, Lost::Silent, None);
         }
         // Once proposed, a loss must come into the log, though the worker may report again: it gets
         // no order until then. A proposal that is lost on its way is made again.
-        let proposed: Vec<(String, bool)> =
-            self.losing.iter().map(|(life, loss)| (life.clone(), loss.over)).collect();
-        for (life, over) in proposed {
-            self.propose_lost(state, now, &life, over);
+        let proposed: Vec<(String, Lost)> =
+            self.losing.iter().map(|(life, loss)| (life.clone(), loss.why)).collect();
+        for (life, why) in proposed {
+            self.propose_lost(state, now, &life, why, None);
         }
         self.workers.retain(|_, worker| worker.link.is_some() || now.since(worker.heard) < over);
     }
 
-    /// Proposes that nothing of a life runs any more, with the newest saves that it reported.
-    fn propose_lost(&mut self, state: &State, now: Millis, life: &str, over: bool) {
-        let tried = self.losing.get(life).copied();
+    /// Proposes that nothing of a life runs any more, with the newest known saves of what ran there.
+    fn propose_lost(
+        &mut self,
+        state: &State,
+        now: Millis,
+        life: &str,
+        why: Lost,
+        end: Option<&Report>,
+    ) {
+        let tried = self.losing.get(life);
         if tried.is_some_and(|tried| now.since(tried.at) < PROPOSE_AGAIN_MS) {
             return;
         }
-        let over = over || tried.is_some_and(|tried| tried.over);
-        self.losing.insert(life.to_owned(), Loss { at: now, over });
-        let worker = self.workers.get(life);
-        let clocked = worker.map_or(self.since, |worker| worker.clocked);
-        let save = |run: RunName| Some((run, worker?.rows.get(&run)?.save.clone()));
-        let saves = state.placed(life).filter_map(save).collect();
-        let name = life.to_owned();
+        // What is known at first stays: later only the life's name is.
+        let last = tried.map(|tried| tried.last.clone());
+        let last = last.unwrap_or_else(|| self.last_of(state, life, end));
+        let ended = tried.map(|tried| tried.why).filter(|why| *why != Lost::Silent);
+        let why = ended.unwrap_or(why);
+        let clocked = self.workers.get(life).map_or(self.since, |worker| worker.clocked);
         let silent_ms = now.since(clocked);
-        let decision = Decision::WorkerLost { worker: name.clone(), over, silent_ms };
+        let worker = life.to_owned();
+        let runs: Vec<Last> = last
+            .iter()
+            .filter(|last| state.placed(life).any(|run| run == last.run))
+            .cloned()
+            .collect();
+        let saves = runs.iter().map(|last| (last.run, last.save.clone())).collect();
+        self.losing.insert(worker.clone(), Loss { at: now, why, last });
+        let runs = runs.into_iter().map(|last| (last.run, last.lived_ms)).collect();
+        let decision = Decision::WorkerLost { worker: worker.clone(), why, silent_ms, runs };
         self.outputs.push(Output::Decided(decision));
-        self.outputs.push(Output::Propose(Change::WorkerLost { worker: name, saves, over }));
+        let over = why != Lost::Silent;
+        self.outputs.push(Output::Propose(Change::WorkerLost { worker, saves, over }));
+    }
+
+    /// What is known of the runs that have their place on a life. What its agent told once it was over
+    /// goes first: it knows which starts it had called.
+    fn last_of(&self, state: &State, life: &str, end: Option<&Report>) -> Vec<Last> {
+        let known = self.workers.get(life).map(|worker| &worker.rows);
+        let told = |run: RunName| match end {
+            Some(end) => end.runs.iter().find(|row| row.run == run),
+            None => known?.get(&run),
+        };
+        let last = |run: RunName| match told(run) {
+            Some(row) => {
+                let lived_ms = (!row.unsent).then_some(row.lived_ms.into());
+                Last { run, lived_ms, save: row.save.clone() }
+            }
+            // An agent that told of the end and not of the run never had the order to start it.
+            None => Last { run, lived_ms: end.is_none().then_some(0), save: String::new() },
+        };
+        state.placed(life).map(last).collect()
     }
 
     /// Proposes the ends and unstarted runs of a report if some are new, or if the last proposal shows
--- a/crates/pond-job/src/lead/mod.rs
+++ b/crates/pond-job/src/lead/mod.rs
@@ -51,7 +51,7 @@
 
 pub use advice::{Permit, Question, StepName};
 pub use obstacle::{Obstacle, Obstacles};
-pub use output::{Decision, Output, Terms};
+pub use output::{Decision, Lost, Output, Terms};
 
 /// Time after which an order that shows no effect is sent again, in milliseconds. A report comes
 /// about every second and after each change.
@@ -156,7 +156,7 @@
     pub fn report(&mut self, state: &State, now: Millis, link: u64, agent: &str, report: Report) {
         let life = report.worker.clone();
         if report.gone {
-            self.over(state, now, &life);
+            self.over(state, now, &life, Some(&report));
             return;
         }
         self.replace_former_lives(state, now, agent, &life);
--- a/crates/pond-job/src/lead/output.rs
+++ b/crates/pond-job/src/lead/output.rs
@@ -28,6 +28,17 @@
     }
 }
 
+/// How it is known that nothing of a life of a worker runs any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lost {
+    /// It ended, or another life took its place, and it had not said that it would leave.
+    Crashed,
+    /// It had said that it would leave.
+    Left,
+    /// Its lease has run out.
+    Silent,
+}
+
 /// Something that the shell does for the leader.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Output {
@@ -58,10 +69,13 @@
     WorkerLost {
         /// Its life.
         worker: String,
-        /// Whether it is over; if not, its lease has run out.
-        over: bool,
+        /// How that is known.
+        why: Lost,
         /// How long ago its clock went on, in milliseconds.
         silent_ms: Span,
+        /// The runs that had their place there, and for how long each was known to have run on it, in
+        /// milliseconds; none where no call to start it can have reached the worker.
+        runs: Vec<(RunName, Option<Span>)>,
     },
     /// A run makes no progress and is stopped, to run elsewhere.
     Stalled {
--- a/crates/pond-job/src/lib.rs
+++ b/crates/pond-job/src/lib.rs
@@ -14,6 +14,8 @@
 pub use change::{Change, End, Reply, Start};
 pub use configuration::{Advice, Configuration, Invalid, Limits, Pool, Queue};
 pub use job::{Job, Task};
-pub use lead::{Decision, Leader, Obstacle, Obstacles, Output, Permit, Question, StepName, Terms};
+pub use lead::{
+    Decision, Leader, Lost, Obstacle, Obstacles, Output, Permit, Question, StepName, Terms,
+};
 pub use lesson::Lesson;
 pub use state::State;
--- a/crates/pond-job/tests/world/worker.rs
+++ b/crates/pond-job/tests/world/worker.rs
@@ -236,7 +236,7 @@
                 run.step.milli_cpu
             };
             let percent = run.percent(now, self.ill);
-            RunRow { run: *name, save: run.save(), percent, figure, unlisted: false }
+            RunRow { run: *name, save: run.save(), percent, figure, ..RunRow::default() }
         };
         self.runs.iter().map(row).collect()
     }
--- a/crates/pond-proto/src/fleet.rs
+++ b/crates/pond-proto/src/fleet.rs
@@ -147,6 +147,13 @@
     /// The worker has not listed it yet; its agent tells of it because it was ordered.
     #[prost(bool, tag = "5")]
     pub unlisted: bool,
+    /// For how long the worker has been known to live on since the run was first known to be there, in
+    /// milliseconds.
+    #[prost(uint32, tag = "6")]
+    pub lived_ms: u32,
+    /// No call to start it can have reached the worker.
+    #[prost(bool, tag = "7")]
+    pub unsent: bool,
 }
 
 /// The end of a run at a worker.
@@ -196,7 +203,8 @@
     /// The worker answers the agent's calls.
     #[prost(bool, tag = "9")]
     pub answers: bool,
-    /// This life of the worker is over.
+    /// This life of the worker is over. The report holds the runs that it had at last, and nothing else
+    /// of it.
     #[prost(bool, tag = "10")]
     pub gone: bool,
     /// Runs that were ordered or run.
@@ -214,6 +222,9 @@
     /// The time that a draining worker has left at least, in milliseconds.
     #[prost(uint64, tag = "15")]
     pub remaining_ms: u64,
+    /// The life that is over had said that it would leave.
+    #[prost(bool, tag = "16")]
+    pub left: bool,
 }
 
 /// A run that a worker should start.
--- a/crates/pond-replica/src/audit.rs
+++ b/crates/pond-replica/src/audit.rs
@@ -2,19 +2,24 @@
 
 use pond_job::{Change, Decision, Obstacle, Reply, Start};
 use pond_log::event;
-use pond_proto::job::{Phase, Step};
+use pond_proto::Span;
+use pond_proto::job::{Phase, RunName, Step};
 
 use crate::replica::Replica;
 
+/// Runs of a lost worker that its line names at most; the others are counted.
+const RUNS_TOLD: usize = 8;
+
 impl Replica {
     /// Logs a decision of the leader.
     pub(crate) fn log_decision(&self, decision: Decision) {
         self.metrics.count(&format!("decisions{{kind=\"{}\"}}", decision.kind()), 1);
         match decision {
             Decision::WorkerUp { worker } => event!(self.log, WORKER_UP, "worker" => worker),
-            Decision::WorkerLost { worker, over, silent_ms } => {
-                event!(self.log, WORKER_LOST, "worker" => worker, "over" => over,
-                    "silent_ms" => silent_ms);
+            Decision::WorkerLost { worker, why, silent_ms, runs } => {
+                let count = runs.len();
+                event!(self.log, WORKER_LOST, "worker" => worker, "why" => format!("{why:?}"),
+                    "silent_ms" => silent_ms, "runs" => count, "shortest" => shortest(runs));
             }
             Decision::Stalled { run, worker } => {
                 event!(self.log, RUN_STALLED, "run" => run.to_string(), "worker" => worker);
@@ -116,3 +121,13 @@
         }
     }
 }
+
+/// The runs that lived for the shortest time on a lost worker, and for how long in milliseconds: what ended it
+/// is most likely among them.
+fn shortest(mut runs: Vec<(RunName, Option<Span>)>) -> String {
+    runs.retain(|(_, lived_ms)| lived_ms.is_some());
+    runs.sort_by_key(|(_, lived_ms)| *lived_ms);
+    let told = runs.iter().take(RUNS_TOLD);
+    let texts = told.map(|(run, lived_ms)| format!("{run} {} ms", lived_ms.unwrap_or(0)));
+    texts.collect::<Vec<_>>().join(", ")
+}
