--- a/crates/pond-agent/src/core/answers.rs
+++ b/crates/pond-agent/src/core/answers.rs
@@ -57,9 +57,7 @@
             self.new_life(now, "");
             return;
         }
-        if !matches!(answer.reply, Reply::Unknown | Reply::NotSent) {
-            self.alive = now;
-        }
+        self.note_alive(now, &answer.reply);
         self.note_clock(now, answer.clock_ms.unwrap_or(0));
         match call {
             Call::Start { run, .. } => self.start_answer(now, *run, &answer.reply),
@@ -69,6 +67,25 @@
         }
     }
 
+    /// The worker lives, or nobody takes calls at its address. A worker that is down is of no use until it is
+    /// back: without the second it was given work for another 1.4 to 3.5 s, all in vain.
+    fn note_alive(&mut self, now: Millis, reply: &Reply) {
+        match reply {
+            Reply::Unknown => {}
+            Reply::NotSent => {
+                self.news |= !self.refused;
+                self.refused = true;
+            }
+            _ => {
+                let due = |at: Millis| self.alive < at && at <= now;
+                self.news |= self.refused;
+                self.news |= self.runs.values().filter_map(Run::tell_at).any(due);
+                self.refused = false;
+                self.alive = now;
+            }
+        }
+    }
+
     /// A start that is surely not carried out, or was tried often enough, becomes a stop.
     fn start_answer(&mut self, now: Millis, name: RunName, reply: &Reply) {
         let Some(run) = self.runs.get_mut(&name).filter(|run| !run.stops()) else { return };
@@ -129,6 +146,11 @@
         if self.looking == Some(look) {
             self.looking = None;
         }
+        let lives = !matches!(answer.reply, Reply::Unknown | Reply::NotSent);
+        for run in self.runs.values_mut().filter(|run| lives && run.awaits == Some(look)) {
+            run.awaits = None;
+            run.due = now;
+        }
         let Reply::Listed { runs, ends } = answer.reply else {
             self.look_due = now + wait_again_ms(&mut self.look_fails);
             return;
--- a/crates/pond-agent/src/core/due.rs
+++ b/crates/pond-agent/src/core/due.rs
@@ -7,7 +7,7 @@
 
 use super::{Core, Output};
 use crate::pacing::Group;
-use crate::run::Phase;
+use crate::run::{Phase, Run};
 use crate::worker::Call;
 
 /// How long a list waits for an end, in milliseconds: each list extends the lease, which is some
@@ -31,6 +31,7 @@
             if self.may_call() {
                 self.call_due(now);
                 self.look_if_due(now);
+                self.look_for_survivors(now);
             }
             if self.news || now.since(self.reported) >= REPORT_MS {
                 self.report(now);
@@ -46,6 +47,19 @@
         }
     }
 
+    /// Asks for a list at once when the leader wants to know that the worker has lived on with a run.
+    fn look_for_survivors(&mut self, now: Millis) {
+        let alive = self.alive;
+        let due =
+            |run: &&mut Run| !run.asked && run.tell_at().is_some_and(|at| at <= now && alive < at);
+        let found: Vec<&mut Run> = self.runs.values_mut().filter(due).collect();
+        if found.is_empty() {
+            return;
+        }
+        found.into_iter().for_each(|run| run.asked = true);
+        self.look(0);
+    }
+
     /// When something is due without any further input.
     pub fn due(&self, now: Millis) -> Millis {
         let mut due = self.reported + REPORT_MS;
@@ -60,6 +74,10 @@
                 due = due.min(run.due);
             }
         }
+        let told = |at: &Millis| *at > self.alive;
+        for run in self.runs.values().filter(|run| !run.asked) {
+            due = run.tell_at().filter(told).map_or(due, |at| due.min(at));
+        }
         due.max(now)
     }
 
@@ -81,6 +99,7 @@
             let call = match &run.phase {
                 Phase::Starting { order, .. } => {
                     run.sent += 1;
+                    run.sent_at = now;
                     Call::Start {
                         run: *name,
                         text: order.text.clone(),
@@ -156,7 +175,7 @@
             labels: worker.labels.clone(),
             draining: worker.draining,
             clock_ms: self.clock_ms,
-            answers: self.answered && now.since(self.listed) < SILENT_MS,
+            answers: self.answered && !self.refused && now.since(self.listed) < SILENT_MS,
             gone: false,
             runs: self.rows(),
             ends: self.ends.values().cloned().collect(),
--- a/crates/pond-agent/src/core/mod.rs
+++ b/crates/pond-agent/src/core/mod.rs
@@ -13,7 +13,7 @@
 
 use pond_proto::fleet::{EndRow, Order, Report, RunRow, StartOrder};
 use pond_proto::job::RunName;
-use pond_proto::{Millis, Size};
+use pond_proto::{Millis, Size, Span};
 
 use crate::pacing::Pacing;
 use crate::run::{Phase, Run};
@@ -24,6 +24,10 @@
 /// Lives that are over and remembered as such, the newest: their registrations may still come late.
 const OVER_KEPT: usize = 16;
 
+/// A suspect is started without an answer of its worker after this time, in milliseconds: the worker may be
+/// well and its answers lost.
+const MEET_MS: Span = 300;
+
 /// What a worker says of itself.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Registration {
@@ -113,6 +117,8 @@
     answered: bool,
     /// When this life last answered a call.
     alive: Millis,
+    /// Nobody took the last call at its address.
+    refused: bool,
     reported: Millis,
     /// There is something to report at once.
     news: bool,
@@ -185,6 +191,7 @@
             term: self.term,
             fenced: self.fenced,
             listed: now,
+            alive: now,
             looks: self.looks,
             outputs: std::mem::take(&mut self.outputs),
             ..Core::default()
@@ -279,8 +286,16 @@
         }
         let draining = self.worker.as_ref().is_none_or(|worker| worker.draining);
         let watch = Some(order.watch.clone());
+        // Whether a suspect took the worker down can be told only if the worker is known to live when the
+        // suspect starts, and for how long all else has lived there.
+        let careful = order.watch.tell_ms > 0 && !draining;
         let phase = if draining { Phase::Stopping } else { Phase::Starting { order, tries: 0 } };
-        self.runs.insert(name, Run::new(name, phase, watch, now));
+        let mut run = Run::new(name, phase, watch, now);
+        if careful {
+            run.awaits = Some(self.look(0));
+            run.due = now + MEET_MS;
+        }
+        self.runs.insert(name, run);
     }
 
     fn stop(&mut self, now: Millis, name: RunName) {
--- a/crates/pond-agent/src/run.rs
+++ b/crates/pond-agent/src/run.rs
@@ -1,8 +1,11 @@
 //! A run as its agent sees it.
 
-use pond_proto::Millis;
 use pond_proto::fleet::{RunRow, StartOrder, Watch};
 use pond_proto::job::RunName;
+use pond_proto::{Millis, Span};
+
+/// A worker that answered no longer ago than this was there when a start was called, in milliseconds.
+const MET_MS: Span = 200;
 
 /// How far a run is.
 #[derive(Clone, Debug, PartialEq)]
@@ -46,6 +49,12 @@
     pub began: Option<Millis>,
     /// Calls to start it that may have reached the worker.
     pub sent: u32,
+    /// When the last call to start it was made.
+    pub sent_at: Millis,
+    /// Number of the list whose answer the start waits for, so that it is known that the worker lives.
+    pub awaits: Option<u64>,
+    /// A list was asked for to tell the leader that the worker has lived on with it.
+    pub asked: bool,
     /// How to watch it, as far as known.
     pub watch: Option<Watch>,
     /// What the worker was last told about its pace, in percent; not known of runs that were there
@@ -66,6 +75,9 @@
             seen: None,
             began: None,
             sent: 0,
+            sent_at: Millis(0),
+            awaits: None,
+            asked: false,
             watch,
             pace: Some(100),
         }
@@ -76,12 +88,20 @@
         self.began.get_or_insert(now);
     }
 
+    /// When the leader wants to know that the worker has lived on with it; none if that is no news.
+    pub fn tell_at(&self) -> Option<Millis> {
+        let tell_ms = self.watch.as_ref().map_or(0, |watch| watch.tell_ms);
+        self.began.filter(|_| tell_ms > 0).map(|began| began + Span::from(tell_ms))
+    }
+
     /// What to report of it, if its worker last answered anything at `alive`.
     pub fn row(&self, alive: Millis) -> RunRow {
         let lived = self.began.map_or(0, |began| alive.since(began));
         let lived_ms = u32::try_from(lived).unwrap_or(u32::MAX);
         let unsent = self.sent == 0 && self.began.is_none();
-        RunRow { lived_ms, unsent, ..self.row.clone() }
+        let just_before = self.sent > 0 && self.sent_at.since(alive) <= MET_MS;
+        let met = self.began.is_some() || just_before;
+        RunRow { lived_ms, unsent, met, ..self.row.clone() }
     }
 
     /// It should stop from now on. The call does not wait for the answer to one that is on its way:
--- a/crates/pond-job/src/change.rs
+++ b/crates/pond-job/src/change.rs
@@ -4,7 +4,7 @@
 use pond_proto::job::{How, Phase, RunName, Spec};
 use serde::{Deserialize, Serialize};
 
-use crate::{Configuration, Lesson};
+use crate::{Blame, Configuration, Lesson};
 
 /// An entry of the log.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -52,11 +52,17 @@
         saves: Vec<(RunName, String)>,
         /// Whether the worker will not come back under this name.
         over: bool,
+        /// How the loss counts against what ran there. (Entries of earlier versions have none.)
+        #[serde(default)]
+        blame: Vec<Blame>,
     },
+
     /// Jobs that ended long ago are dropped.
     Forget(Vec<u64>),
     /// What the leader has learned of harm, for the next one.
     Learned(Lesson),
+    /// Workers have lived on with these runs for long enough to clear their tasks.
+    Cleared(Vec<RunName>),
 }
 
 /// A run for a worker.
@@ -112,6 +118,7 @@
             Change::WorkerLost { .. } => "worker_lost",
             Change::Forget(_) => "forget",
             Change::Learned(_) => "learned",
+            Change::Cleared(_) => "cleared",
         }
     }
 
--- a/crates/pond-job/src/job.rs
+++ b/crates/pond-job/src/job.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::configuration::Advice;
+use crate::suspicion::Suspicion;
 
 /// An accepted job.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -48,6 +49,10 @@
     pub done: bool,
     /// The newest save of its progress.
     pub save: String,
+    /// The workers that were lost under it; none if none were, or since it was cleared. (Snapshots of
+    /// earlier versions have none.)
+    #[serde(default)]
+    pub suspicion: Option<Box<Suspicion>>,
 }
 
 impl Task {
@@ -55,6 +60,11 @@
     pub fn waits(&self) -> bool {
         !self.done && self.worker.is_none()
     }
+
+    /// Whether it may have taken down workers.
+    pub fn suspect(&self) -> bool {
+        self.suspicion.as_ref().is_some_and(|suspicion| suspicion.suspect)
+    }
 }
 
 impl Job {
--- a/crates/pond-job/src/lead/board.rs
+++ b/crates/pond-job/src/lead/board.rs
@@ -43,7 +43,9 @@
         let Board { kept, stale } = std::mem::take(&mut self.board);
         let mut kept = kept.into_iter().peekable();
         let mut candidates = Vec::with_capacity(self.workers.len());
-        let Leader { workers, harm, health, tried, .. } = self;
+        let Leader { workers, harm, health, tried, begun, since, .. } = self;
+        // A leader that has just come to lead does not know what its forerunner started.
+        let begun = |life: &str| begun.get(life).copied().unwrap_or(*since);
         for (life, worker) in workers.iter().filter(|(_, worker)| sound(worker, now)) {
             while kept.next_if(|other| other.life < *life).is_some() {}
             let known = kept.next_if(|other| other.life == *life);
@@ -53,11 +55,11 @@
             // What is kept is what would be made anew. Checked by all tests, not in releases.
             if cfg!(debug_assertions) {
                 let mut anew = made();
-                anew.refresh(now, health.get(&worker.agent), harm);
-                candidate.refresh(now, health.get(&worker.agent), harm);
+                anew.refresh(now, health.get(&worker.agent), begun(life), harm);
+                candidate.refresh(now, health.get(&worker.agent), begun(life), harm);
                 assert_eq!(candidate, anew, "what is kept of {life} is out of date");
             }
-            candidate.refresh(now, health.get(&worker.agent), harm);
+            candidate.refresh(now, health.get(&worker.agent), begun(life), harm);
             candidates.push(candidate);
         }
         candidates
@@ -78,6 +80,9 @@
         let Some(step) = job.step(run.task) else { continue };
         made.add(run, step, !job.phase.ended(), harm);
         made.tried += usize::from(tried.contains(&run));
+        if let Some(suspicion) = state.suspicion(run).filter(|suspicion| suspicion.suspect) {
+            made.add_suspect(suspicion, worker.rows.get(&run).map_or(0, |row| row.lived_ms.into()));
+        }
     }
     made
 }
--- a/crates/pond-job/src/lead/candidate.rs
+++ b/crates/pond-job/src/lead/candidate.rs
@@ -3,9 +3,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use pond_proto::job::{RunName, Step, TaskName};
-use pond_proto::{Millis, Size};
+use pond_proto::{Millis, Size, Span};
 
 use crate::change::Start;
+use crate::suspicion::{SURVIVED_MS, Suspicion};
 
 use super::advice::StepName;
 use super::beside::{Filler, Served, share};
@@ -31,6 +32,10 @@
 /// but an empty worker. Measured only as it is.
 const DISTURBED: i64 = 10;
 
+/// What a worker was given has shown itself after this time, in milliseconds: it has survived, and the order,
+/// the call and the start took their time before.
+const SHOWN_MS: Span = SURVIVED_MS + 200;
+
 /// A worker with what it has room for. What hangs on its runs alone is made when one of them changes, see
 /// the module `board`; what also hangs on the time, before each plan, by [`Candidate::refresh`].
 #[derive(Clone, Debug, PartialEq)]
@@ -67,6 +72,17 @@
     pub tried: usize,
     /// It gets nothing at all.
     pub resting: bool,
+    /// Suspects that it has, which no run has cleared.
+    pub suspects: usize,
+    /// The job of the suspects that a plan gave it first.
+    suspects_of: Option<u64>,
+    /// One of them has begun and may still take the worker down: nothing else is started there.
+    closed: bool,
+    /// A plan keeps it for a suspect: nothing else is started there, so that what began last has shown
+    /// itself when the suspect comes.
+    reserved: bool,
+    /// It was given something just now, which may still take the worker down.
+    fresh: bool,
     /// How many tasks of each time and step of a job it has.
     pub steps: BTreeMap<StepName, u32>,
     /// A plan gave it something or keeps room there: it is no longer what its runs make it.
@@ -93,6 +109,11 @@
             more: usize::MAX,
             tried: 0,
             resting: false,
+            suspects: 0,
+            suspects_of: None,
+            closed: false,
+            reserved: false,
+            fresh: false,
             steps: BTreeMap::new(),
             planned: false,
         }
@@ -111,8 +132,17 @@
         self.occupy(run.task, step);
     }
 
-    /// Brings up to date what changes with time and with what is learned elsewhere.
-    pub fn refresh(&mut self, now: Millis, health: Option<&Health>, harm: &Harm) {
+    /// Adds that a run placed there is of a suspect, with which the worker has lived on for so long.
+    pub fn add_suspect(&mut self, suspicion: &Suspicion, lived_ms: Span) {
+        self.suspects += 1;
+        self.closed |= lived_ms < suspicion.apart_ms();
+    }
+
+    /// Brings up to date what changes with time and with what is learned elsewhere. `begun` tells when the
+    /// worker was last given something.
+    pub fn refresh(&mut self, now: Millis, health: Option<&Health>, begun: Millis, harm: &Harm) {
+        self.reserved = false;
+        self.fresh = now.since(begun) < SHOWN_MS;
         self.more = health.map_or(usize::MAX, |health| health.allowed(now, self.passing_runs));
         self.resting = health.is_some_and(|health| health.resting(now));
         self.served.clear();
@@ -146,6 +176,50 @@
         self.occupy(task, step);
     }
 
+    /// Gives it a suspect, in whose company nothing else begins.
+    pub fn take_suspect(&mut self, job: u64) {
+        self.suspects += 1;
+        self.closed = true;
+        self.suspects_of.get_or_insert(job);
+    }
+
+    /// Keeps it for a suspect.
+    pub fn reserve(&mut self) {
+        self.planned = true;
+        self.reserved = true;
+    }
+
+    /// Whether it is kept from other work by a suspect.
+    pub fn closed(&self) -> bool {
+        self.closed || self.reserved
+    }
+
+    /// Whether suspects of a job would be alone there with what has worked well for a while.
+    pub fn isolates(&self, job: u64) -> bool {
+        let peaceful = self.suspects == 0 && !self.fresh && (!self.planned || self.reserved);
+        peaceful || self.isolated(job)
+    }
+
+    /// Whether a plan gave it suspects of that job, and none of others before.
+    pub fn isolated(&self, job: u64) -> bool {
+        self.suspects_of == Some(job)
+    }
+
+    /// Whether a task may run there but for what a suspect keeps it from; if `bold`, also for what serving
+    /// tasks are expected to use.
+    pub fn could_isolate(&self, pool: &str, task: TaskName, step: &Step, bold: bool) -> bool {
+        let busy = !bold && step.fills && self.idle < i64::from(step.milli_cpu);
+        self.allows(pool, task, step)
+            && self.sick_for(step).is_none()
+            && step.size().fits(self.free_beside_kept(task))
+            && !busy
+    }
+
+    /// How many runs would be lost with it.
+    pub fn at_stake(&self) -> u32 {
+        self.steps.values().sum()
+    }
+
     /// Takes room for a task.
     fn occupy(&mut self, task: TaskName, step: &Step) {
         self.free = minus(self.free, step.size());
@@ -200,6 +274,11 @@
     /// Why the worker is not taken for sound; none if it is. A lasting task tells nothing about a
     /// worker's health for long, so it is no probe.
     fn unsound_for(&self, step: &Step) -> Option<Obstacle> {
+        if self.closed() { Some(Obstacle::Suspect) } else { self.sick_for(step) }
+    }
+
+    /// Why the worker is taken for sick; none if it is not.
+    fn sick_for(&self, step: &Step) -> Option<Obstacle> {
         if self.resting {
             Some(Obstacle::Resting)
         } else if !step.lasting && self.more == 0 {
--- a/crates/pond-job/src/lead/ends.rs
+++ b/crates/pond-job/src/lead/ends.rs
@@ -10,6 +10,7 @@
 use super::{Decision, Leader, Lost, Output, PROPOSE_AGAIN_MS};
 use crate::change::{Change, End};
 use crate::state::State;
+use crate::suspicion::Blame;
 
 /// The loss of a worker that is proposed.
 #[derive(Clone, Debug)]
@@ -19,15 +20,18 @@
     why: Lost,
     /// The runs that had their place there.
     last: Vec<Last>,
+    blame: Vec<Blame>,
 }
 
 /// What was known at last of a run on a lost life.
 #[derive(Clone, Debug)]
 pub(super) struct Last {
-    run: RunName,
+    pub run: RunName,
     /// For how long the worker was known to have lived on with the run, in milliseconds; none if no
     /// call to start it can have reached the worker.
-    lived_ms: Option<Span>,
+    pub lived_ms: Option<Span>,
+    /// The worker was known to live when the run was started there.
+    pub met: bool,
     save: String,
 }
 
@@ -83,6 +87,7 @@
             self.propose_lost(state, now, &life, why, None);
         }
         self.workers.retain(|_, worker| worker.link.is_some() || now.since(worker.heard) < over);
+        self.begun.retain(|life, _| self.workers.contains_key(life));
     }
 
     /// Proposes that nothing of a life runs any more, with the newest known saves of what ran there.
@@ -112,12 +117,24 @@
             .cloned()
             .collect();
         let saves = runs.iter().map(|last| (last.run, last.save.clone())).collect();
-        self.losing.insert(worker.clone(), Loss { at: now, why, last });
+        let agent = self.agent_of(state, life);
+        let blame = match tried {
+            Some(tried) if tried.why == why => tried.blame.clone(),
+            _ => self.judge(state, now, &agent, why, &last),
+        };
+        let loss = Loss { at: now, why, last, blame: blame.clone() };
+        self.losing.insert(worker.clone(), loss);
         let runs = runs.into_iter().map(|last| (last.run, last.lived_ms)).collect();
         let decision = Decision::WorkerLost { worker: worker.clone(), why, silent_ms, runs };
         self.outputs.push(Output::Decided(decision));
         let over = why != Lost::Silent;
-        self.outputs.push(Output::Propose(Change::WorkerLost { worker, saves, over }));
+        self.outputs.push(Output::Propose(Change::WorkerLost { worker, saves, over, blame }));
+    }
+
+    /// The agent beside a life; empty if it is not known any more.
+    fn agent_of(&self, state: &State, life: &str) -> String {
+        let known = self.workers.get(life).map(|worker| worker.agent.as_str());
+        known.or(state.agent_beside(life)).unwrap_or_default().to_owned()
     }
 
     /// What is known of the runs that have their place on a life. What its agent told once it was over
@@ -131,10 +148,14 @@
         let last = |run: RunName| match told(run) {
             Some(row) => {
                 let lived_ms = (!row.unsent).then_some(row.lived_ms.into());
-                Last { run, lived_ms, save: row.save.clone() }
+                // Only the agent of that time can tell what it had called at last.
+                Last { run, lived_ms, met: row.met && end.is_some(), save: row.save.clone() }
             }
             // An agent that told of the end and not of the run never had the order to start it.
-            None => Last { run, lived_ms: end.is_none().then_some(0), save: String::new() },
+            None => {
+                let lived_ms = end.is_none().then_some(0);
+                Last { run, lived_ms, met: false, save: String::new() }
+            }
         };
         state.placed(life).map(last).collect()
     }
--- a/crates/pond-job/src/lead/mod.rs
+++ b/crates/pond-job/src/lead/mod.rs
@@ -9,6 +9,7 @@
 mod advice;
 mod ask;
 mod beside;
+mod blame;
 mod board;
 mod candidate;
 mod ends;
@@ -27,6 +28,7 @@
 mod rank;
 mod ready;
 mod regression;
+mod suspect;
 mod wait;
 mod worker;
 
@@ -42,6 +44,7 @@
 
 use absent::Absence;
 use advice::Adviser;
+use blame::Losses;
 use board::Board;
 use ends::Loss;
 use harm::Harm;
@@ -85,6 +88,10 @@
     /// Lives whose loss is proposed. They get no order until it is in the log: a run that starts or
     /// goes on there would run beside the one that replaces it.
     losing: BTreeMap<String, Loss>,
+    /// When workers were lost, and what was cleared of it.
+    losses: Losses,
+    /// When a start was last applied for a life.
+    begun: BTreeMap<String, Millis>,
     /// Runs that are stopped to run elsewhere.
     unwanted: BTreeSet<RunName>,
     /// Runs that were started although they were expected to disturb.
@@ -128,6 +135,8 @@
             health: BTreeMap::new(),
             starting: None,
             losing: BTreeMap::new(),
+            losses: Losses::default(),
+            begun: BTreeMap::new(),
             unwanted: BTreeSet::new(),
             tried: BTreeSet::new(),
             avoided: BTreeMap::new(),
@@ -172,6 +181,7 @@
         }
         self.propose_ends(state, now, &life, &report);
         self.watch_progress(state, now, &life, &report);
+        self.clear_survivors(state, now, &report);
         self.touch(&life);
     }
 
@@ -187,7 +197,10 @@
         match change {
             Change::Start(starts) => {
                 self.starting = None;
-                starts.iter().for_each(|start| self.touch(&start.worker));
+                for start in starts {
+                    self.begun.insert(start.worker.clone(), now);
+                    self.touch(&start.worker);
+                }
             }
             Change::Ended { worker, ends, .. } => {
                 self.touch(worker);
@@ -205,6 +218,12 @@
             }
             Change::Forget(ids) => self.ended.retain(|id, _| !ids.contains(id)),
             Change::Cancel { id, .. } => self.touch_workers_of(state, *id),
+            Change::Cleared(runs) => {
+                let task = |run: &RunName| state.job(run.task.job)?.task(run.task);
+                let lives = runs.iter().filter_map(|run| task(run)?.worker.clone());
+                let lives: Vec<String> = lives.collect();
+                lives.iter().for_each(|life| self.touch(life));
+            }
             _ => {}
         }
         if let Reply::Ended(jobs) = reply {
@@ -250,6 +269,7 @@
                 self.looked = now;
                 self.lose_silent(state, now);
                 self.forget_old(state, now);
+                self.forget_cleared(state);
                 self.leave_settled(state);
                 self.touch_unsettled(state, now);
                 self.note_absent(state, now);
--- a/crates/pond-job/src/lead/obstacle.rs
+++ b/crates/pond-job/src/lead/obstacle.rs
@@ -7,6 +7,8 @@
 pub enum Obstacle {
     /// Another pool, a missing label, or too many tasks of the step there.
     Elsewhere,
+    /// A task that may take down its worker has begun there, or the worker is kept for one.
+    Suspect,
     /// The worker rests after failures.
     Resting,
     /// The worker is being probed after a rest.
--- a/crates/pond-job/src/lead/order.rs
+++ b/crates/pond-job/src/lead/order.rs
@@ -86,6 +86,7 @@
                 fills: step.fills,
                 image: step.image.clone(),
                 blame_permille: permille(blame),
+                tell_ms: tell_ms(state, run),
             });
         }
         watches
@@ -171,9 +172,17 @@
     watches
 }
 
+/// How long a worker has to live on with a run until its agent should report that at once, in milliseconds:
+/// until then nothing is started beside a suspect.
+fn tell_ms(state: &State, run: RunName) -> u32 {
+    let suspicion = state.suspicion(run).filter(|suspicion| suspicion.suspect);
+    suspicion.map_or(0, |suspicion| suspicion.clears_at_ms() as u32)
+}
+
 /// Whether an agent should be told anew how to watch a run.
 fn changed(told: &Watch, watch: &Watch) -> bool {
-    told.blame_permille.abs_diff(watch.blame_permille) >= BLAME_STEP_PERMILLE
+    told.tell_ms != watch.tell_ms
+        || told.blame_permille.abs_diff(watch.blame_permille) >= BLAME_STEP_PERMILLE
 }
 
 /// The order to start a run; none if its job or how to watch it is not known.
--- a/crates/pond-job/src/lead/overdue.rs
+++ b/crates/pond-job/src/lead/overdue.rs
@@ -173,6 +173,9 @@
             let Some(found) = found else { break };
             undo.note(found, candidates);
             candidates[found].take(task, group.step, group.image, group.served, &self.harm);
+            if self.begins_apart(now, group, &group.tasks()[*index]) {
+                candidates[found].take_suspect(group.id);
+            }
             candidates[found].tried += 1;
             starts.push(candidates[found].start(RunName { task, number: *number }));
         }
@@ -215,23 +218,26 @@
         candidates: &[Candidate],
     ) -> Option<usize> {
         let overlooked = self.overlooked(now, group, task, boldness, candidates);
+        let suspect = group.tasks().get(task.index as usize).is_some_and(Task::suspect);
         let open = |candidate: &Candidate| {
             let lacking = self.lacks_ticket(now, group, task, &candidate.life);
             let admitted = candidate.admits(&group.job.pool, task, group.step, &overlooked);
             admitted && candidate.tried < boldness.most_tried && !lacking
         };
         let avoided = self.avoided.get(&task);
-        let failed = |candidate: &Candidate| {
-            avoided.is_some_and(|avoided| avoided.contains(&candidate.life))
+        // A suspect begins in company only if it has to: the company would share the blame.
+        let unsuited = |candidate: &Candidate| {
+            let failed = avoided.is_some_and(|avoided| avoided.contains(&candidate.life));
+            (suspect && !candidate.isolates(group.id), failed)
         };
         let found = candidates.iter().enumerate().filter(|(_, candidate)| open(candidate));
         let column = self.harm.column(group.image);
         let keyed = found.map(|(i, candidate)| {
-            (i, failed(candidate), candidate.excess_with(group.step, &column))
+            (i, unsuited(candidate), candidate.excess_with(group.step, &column))
         });
-        let least = |(_, a_failed, a_excess): &(usize, bool, f64),
-                     (_, b_failed, b_excess): &(usize, bool, f64)| {
-            a_failed.cmp(b_failed).then(a_excess.total_cmp(b_excess))
+        type Keyed = (usize, (bool, bool), f64);
+        let least = |(_, a_unsuited, a_excess): &Keyed, (_, b_unsuited, b_excess): &Keyed| {
+            a_unsuited.cmp(b_unsuited).then(a_excess.total_cmp(b_excess))
         };
         keyed.min_by(least).map(|(i, _, _)| i)
     }
--- a/crates/pond-job/src/lead/plan.rs
+++ b/crates/pond-job/src/lead/plan.rs
@@ -57,6 +57,7 @@
         let mut candidates = self.candidates(state, now);
         let mut starts = Vec::new();
         let mut blocked = Vec::new();
+        self.place_suspects(now, &ready, &mut candidates, &mut starts);
         let mut reached = 0;
         let mut full = Full::default();
         for group in &ready {
@@ -74,6 +75,8 @@
             if let Some(obstacles) = obstacles {
                 full.note(group, &obstacles);
                 blocked.push((group, obstacles));
+            } else if let Some(obstacles) = self.suspect_waits(now, group, &candidates, &starts) {
+                blocked.push((group, obstacles));
             }
         }
         let unreached = ready[reached..].iter().chain(&later);
@@ -122,7 +125,8 @@
         }
         let mut ranking = Ranking::new(self, now, group, candidates);
         for (index, task) in group.tasks().iter().enumerate() {
-            if !task.waits() || starts.len() >= STARTS {
+            let apart = self.begins_apart(now, group, task);
+            if !task.waits() || apart || starts.len() >= STARTS {
                 continue;
             }
             let name = group.task(index);
@@ -156,15 +160,23 @@
         let mut undo = Undo::default();
         let mut placed = Vec::new();
         let mut ranking = Ranking::new(self, now, group, candidates);
-        for index in 0..tasks.len() {
+        for (index, task) in tasks.iter().enumerate() {
             let name = group.task(index);
-            let Some(found) = ranking.best(self.avoided.get(&name), candidates) else {
+            let apart = self.begins_apart(now, group, task);
+            let found = match apart {
+                true => self.isolated(now, group, index, candidates),
+                false => ranking.best(self.avoided.get(&name), candidates),
+            };
+            let Some(found) = found else {
                 let obstacles = self.obstacles(now, group, name, candidates);
                 undo.restore(candidates);
                 return Some(obstacles);
             };
             undo.note(found, candidates);
             candidates[found].take(name, group.step, group.image, group.served, &self.harm);
+            if apart {
+                candidates[found].take_suspect(group.id);
+            }
             ranking.update(found, candidates);
             let run = RunName { task: name, number };
             placed.push(candidates[found].start(run));
@@ -174,7 +186,7 @@
     }
 
     /// What keeps each worker from taking a task.
-    fn obstacles(
+    pub(super) fn obstacles(
         &self,
         now: Millis,
         group: &Ready<'_>,
--- a/crates/pond-job/src/lib.rs
+++ b/crates/pond-job/src/lib.rs
@@ -10,6 +10,7 @@
 mod lead;
 mod lesson;
 mod state;
+mod suspicion;
 
 pub use change::{Change, End, Reply, Start};
 pub use configuration::{Advice, Configuration, Invalid, Limits, Pool, Queue};
@@ -19,3 +20,4 @@
 };
 pub use lesson::Lesson;
 pub use state::State;
+pub use suspicion::{BLAMED_MS, Blame, SURVIVED_MS, Suspicion, Verdict};
--- a/crates/pond-job/src/state/mod.rs
+++ b/crates/pond-job/src/state/mod.rs
@@ -12,6 +12,7 @@
 use crate::configuration::Configuration;
 use crate::job::{Job, Task, longest_chain};
 use crate::lesson::Lesson;
+use crate::suspicion::Suspicion;
 
 /// Most tasks of one job; more are refused, so that one job cannot fill the memory: a task takes
 /// some hundred bytes, so this many take a few megabytes.
@@ -82,11 +83,23 @@
         self.agents.iter().filter(beside).map(|(life, _)| life.as_str())
     }
 
+    /// The agent beside a life of a worker that has runs.
+    pub fn agent_beside(&self, life: &str) -> Option<&str> {
+        self.agents.get(life).map(String::as_str)
+    }
+
     /// Ends of that life of a worker up to this number are settled.
     pub fn settled(&self, worker: &str) -> u64 {
         self.settled.get(worker).copied().unwrap_or(0)
     }
 
+    /// What is held against the task of a run, if the run is the task's newest and its job goes on.
+    pub fn suspicion(&self, run: RunName) -> Option<&Suspicion> {
+        let job = self.job(run.task.job).filter(|job| !job.phase.ended())?;
+        let task = job.task(run.task).filter(|task| task.run == run.number)?;
+        task.suspicion.as_deref()
+    }
+
     /// What of the ends and unstarted runs of a worker is news here; the rest was applied before.
     pub fn unsettled<'a>(
         &self,
@@ -137,7 +150,11 @@
             Change::Cancel { host, path, id } => self.cancel(&host, &path, id),
             Change::Start(starts) => self.start(starts),
             Change::Ended { worker, ends, unstarted } => self.end(&worker, ends, &unstarted),
-            Change::WorkerLost { worker, saves, over } => self.lose(&worker, saves, over),
+            Change::WorkerLost { worker, saves, over, blame } => {
+                self.blame(&worker, &blame);
+                self.lose(&worker, saves, over)
+            }
+            Change::Cleared(runs) => self.clear(&runs),
             Change::Forget(ids) => self.forget(&ids),
             Change::Learned(lesson) => {
                 self.lesson = lesson;
--- a/crates/pond-job/src/state/runs.rs
+++ b/crates/pond-job/src/state/runs.rs
@@ -6,6 +6,7 @@
 
 use super::State;
 use crate::change::{End, Reply, Start};
+use crate::suspicion::Blame;
 
 impl State {
     /// Places the runs whose tasks may start; the others are left out of the reply.
@@ -81,6 +82,10 @@
         if !save.is_empty() {
             task.save = save;
         }
+        if matches!(how, How::Done | How::Failed) && task.run == run.number {
+            // It came to its own end, and its worker told of it.
+            task.suspicion = None;
+        }
         match how {
             How::Done if !lasting => self.done(run.task, gang),
             How::Failed if !lasting => {
@@ -109,6 +114,41 @@
         job.open -= newly;
     }
 
+    /// Counts the loss of a life against tasks whose runs were lost with it. A proposal that is applied
+    /// twice counts once, as the runs have no place there any more. A task that takes down its workers would
+    /// do so for ever: its job has failed, whatever attempts it has left.
+    pub(super) fn blame(&mut self, worker: &str, blame: &[Blame]) {
+        let agent = self.agents.get(worker).cloned().unwrap_or_default();
+        for blame in blame {
+            let placed = self.placed.get(worker).is_some_and(|runs| runs.contains(&blame.run));
+            let Some(job) = self.jobs.get_mut(&blame.run.task.job).filter(|_| placed) else {
+                continue;
+            };
+            let ended = job.phase.ended();
+            let Some(task) = job.task_mut(blame.run.task).filter(|task| !task.done && !ended)
+            else {
+                continue;
+            };
+            let suspicion = task.suspicion.get_or_insert_default();
+            suspicion.add(blame, &agent);
+            if suspicion.convicts() {
+                job.phase = Phase::Failed;
+            }
+        }
+    }
+
+    /// Clears the tasks of which these are the newest runs.
+    pub(super) fn clear(&mut self, runs: &[RunName]) -> Reply {
+        for run in runs {
+            let job = self.jobs.get_mut(&run.task.job);
+            let task = job.and_then(|job| job.task_mut(run.task));
+            if let Some(task) = task.filter(|task| task.run == run.number) {
+                task.suspicion = None;
+            }
+        }
+        Reply::Accepted
+    }
+
     /// Takes all runs from a life of a worker on which nothing runs any more.
     pub(super) fn lose(
         &mut self,
--- /dev/null
+++ b/crates/pond-job/src/suspicion.rs
@@ -0,0 +1,113 @@
+//! What is remembered of the workers that were lost under a task, for as long as the task lives.
+//!
+//! A worker that crashes takes all its runs along and tells nothing, so whoever ran there may be the cause.
+//! A task is given up only for losses at which nothing else can have been the cause; until then it is a
+//! suspect, which is started apart from other work. A run that lives on clears its task.
+
+use pond_proto::Span;
+use pond_proto::job::RunName;
+use serde::{Deserialize, Serialize};
+
+/// A run with which its worker has lived on for this long did not take it down at its start, in
+/// milliseconds. Fifty times the ten milliseconds after which workers were seen to go down, and short enough
+/// that a suspect keeps a worker from other work for less than a second.
+pub const SURVIVED_MS: Span = 500;
+
+/// A loss says nothing about a run with which the worker has lived on for this long, in milliseconds. So
+/// tasks that take down their workers later than this are not bounded: each such loss comes at most
+/// every ten seconds.
+pub const BLAMED_MS: Span = 10_000;
+
+/// A suspect keeps a worker from other work for this long at most, in milliseconds. What takes its worker down
+/// later is found out all the same, but by more losses.
+const APART_MS: Span = 2_500;
+
+/// So many losses at which nothing else can have been the cause, and a task is given up. A single one can
+/// be chance: whatever ends workers by itself may strike one while a suspect has just begun there.
+const PROVEN: u32 = 2;
+
+/// A task is given up for two proofs only with so many losses in all.
+const LOSSES_WITH_PROOFS: u32 = 3;
+
+/// With so many losses a task is given up without proofs, if it was likely the cause at most of them: users
+/// bear five starts.
+const LOSSES: u32 = 5;
+
+/// So many of these losses it must have caused as likely as anything else.
+const LIKELY: u32 = 3;
+
+/// A task that was beside so many losses is a suspect, though others had begun later each time.
+const BESIDE: u32 = 2;
+
+/// Agents that are remembered of a task's losses, the newest.
+const AGENTS: usize = 4;
+
+/// How a loss counts against a task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Verdict {
+    /// It was there, but had worked for a while; others may be the cause.
+    Beside,
+    /// It may be the cause, as may others.
+    Suspected,
+    /// Nothing else can be the cause, unless the worker went down by itself.
+    Proven,
+}
+
+/// A loss that counts against the task of a run.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Blame {
+    /// The run that was lost.
+    pub run: RunName,
+    /// How it counts.
+    pub verdict: Verdict,
+    /// For how long the worker was known to have lived on with the run, in milliseconds.
+    pub lived_ms: Span,
+}
+
+/// The losses of a task since it was last cleared.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Suspicion {
+    /// How many workers were lost under it.
+    pub losses: u32,
+    /// How many of them it may have caused, by how little it had lived.
+    pub likely: u32,
+    /// At how many of them nothing else can have been the cause.
+    pub proven: u32,
+    /// It may be the cause, and is started apart from other work.
+    pub suspect: bool,
+    /// The longest that a worker was known to have lived on with it, in milliseconds.
+    pub lived_ms: Span,
+    /// The agents beside the workers that were lost, the newest last.
+    pub agents: Vec<String>,
+}
+
+impl Suspicion {
+    /// One more worker is lost, beside that agent.
+    pub fn add(&mut self, blame: &Blame, agent: &str) {
+        self.losses += 1;
+        self.likely += u32::from(blame.verdict != Verdict::Beside);
+        self.proven += u32::from(blame.verdict == Verdict::Proven);
+        self.suspect |= blame.verdict != Verdict::Beside || self.losses >= BESIDE;
+        self.lived_ms = self.lived_ms.max(blame.lived_ms);
+        self.agents.push(agent.to_owned());
+        let more = self.agents.len().saturating_sub(AGENTS);
+        self.agents.drain(..more);
+    }
+
+    /// Whether the task is given up.
+    pub fn convicts(&self) -> bool {
+        let proven = self.proven >= PROVEN && self.losses >= LOSSES_WITH_PROOFS;
+        proven || (self.losses >= LOSSES && self.likely >= LIKELY)
+    }
+
+    /// A run that has lived on for this long clears the task, in milliseconds.
+    pub fn clears_at_ms(&self) -> Span {
+        (self.lived_ms * 2 + SURVIVED_MS).min(BLAMED_MS)
+    }
+
+    /// Nothing else is started beside a run of it until the worker has lived on with the run for this long,
+    /// in milliseconds.
+    pub fn apart_ms(&self) -> Span {
+        self.clears_at_ms().min(APART_MS)
+    }
+}
--- a/crates/pond-job/tests/state.rs
+++ b/crates/pond-job/tests/state.rs
@@ -43,7 +43,7 @@
 
 fn lose(state: &mut State, worker: &str) {
     let worker = worker.to_owned();
-    state.apply(Change::WorkerLost { worker, saves: vec![], over: false });
+    state.apply(Change::WorkerLost { worker, saves: vec![], over: false, blame: vec![] });
 }
 
 fn phase(state: &State) -> Phase {
--- a/crates/pond-job/tests/support/crashing.rs
+++ b/crates/pond-job/tests/support/crashing.rs
@@ -135,7 +135,7 @@
         let alive = down.unwrap_or(self.bench.now);
         let row = |(run, began): (&RunName, &Millis)| {
             let lived_ms = alive.since(*began) as u32;
-            RunRow { run: *run, percent: 10, lived_ms, ..RunRow::default() }
+            RunRow { run: *run, percent: 10, lived_ms, met: true, ..RunRow::default() }
         };
         machine.runs.iter().map(row).collect()
     }
--- /dev/null
+++ b/crates/pond-job/tests/suspicion.rs
@@ -0,0 +1,134 @@
+//! What the replicated state remembers of workers that were lost under a task.
+
+mod support;
+
+use pond_job::{Blame, Change, End, Start, State, Suspicion, Task, Verdict};
+use pond_proto::Millis;
+use pond_proto::job::{How, Phase, RunName, Step};
+use support::{HOST, PATH, configuration, spec, step, task};
+
+fn state(steps: Vec<Step>) -> State {
+    let mut state = State::new();
+    state.apply(Change::Configure(configuration(1)));
+    let (host, path) = (HOST.to_owned(), format!("{PATH}{:016x}", 1));
+    state.apply(Change::Submit { host, path, id: 1, spec: spec(steps), at: Millis(1) });
+    state
+}
+
+fn run(number: u32) -> RunName {
+    RunName { task: task(1, 0, 0), number }
+}
+
+fn start(state: &mut State, number: u32) {
+    let (worker, agent) = (format!("life-{number}"), format!("agent-{number}"));
+    state.apply(Change::Start(vec![Start { run: run(number), worker, agent }]));
+}
+
+fn loss(number: u32, verdict: Verdict) -> Change {
+    let blame = vec![Blame { run: run(number), verdict, lived_ms: 0 }];
+    let worker = format!("life-{number}");
+    Change::WorkerLost { worker, saves: vec![], over: true, blame }
+}
+
+/// The task is started and its worker is lost, for each verdict.
+fn lose(state: &mut State, verdicts: &[Verdict]) {
+    for (before, verdict) in verdicts.iter().enumerate() {
+        let number = before as u32 + 1;
+        start(state, number);
+        state.apply(loss(number, *verdict));
+    }
+}
+
+fn phase(state: &State) -> Phase {
+    state.job(1).unwrap().phase
+}
+
+fn suspicion(state: &State) -> Option<&Suspicion> {
+    state.job(1).unwrap().task(task(1, 0, 0)).unwrap().suspicion.as_deref()
+}
+
+#[test]
+fn task_is_given_up_by_what_its_losses_prove() {
+    use Verdict::{Beside, Proven, Suspected};
+    let cases: [(&[Verdict], Phase); 8] = [
+        (&[Proven, Proven], Phase::Running),
+        (&[Proven, Proven, Beside], Phase::Failed),
+        (&[Suspected, Proven, Proven], Phase::Failed),
+        (&[Suspected, Proven, Suspected, Suspected], Phase::Running),
+        (&[Suspected, Proven, Suspected, Suspected, Suspected], Phase::Failed),
+        (&[Beside, Beside, Suspected, Suspected, Proven], Phase::Failed),
+        (&[Beside; 9], Phase::Running),
+        (&[Beside, Beside, Beside, Suspected, Suspected], Phase::Running),
+    ];
+    for (verdicts, wanted) in cases {
+        let mut state = state(vec![step(1, 100)]);
+        lose(&mut state, verdicts);
+        assert_eq!(phase(&state), wanted, "{verdicts:?}");
+    }
+}
+
+#[test]
+fn lasting_task_is_given_up_as_well() {
+    let mut state = state(vec![Step { lasting: true, ..step(1, 100) }]);
+    lose(&mut state, &[Verdict::Suspected, Verdict::Proven, Verdict::Proven]);
+    assert_eq!(phase(&state), Phase::Failed);
+}
+
+#[test]
+fn loss_that_is_proposed_twice_counts_once() {
+    let mut state = state(vec![step(1, 100)]);
+    start(&mut state, 1);
+    state.apply(loss(1, Verdict::Proven));
+    state.apply(loss(1, Verdict::Proven));
+    start(&mut state, 2);
+    state.apply(loss(1, Verdict::Proven));
+    assert_eq!(suspicion(&state).map(|suspicion| suspicion.losses), Some(1));
+}
+
+#[test]
+fn run_that_lives_on_or_comes_to_its_own_end_clears_its_task() {
+    let mut state = state(vec![step(1, 100)]);
+    lose(&mut state, &[Verdict::Suspected]);
+    start(&mut state, 2);
+    state.apply(Change::Cleared(vec![run(1)]));
+    assert!(suspicion(&state).is_some(), "a former run clears nothing");
+    state.apply(Change::Cleared(vec![run(2)]));
+    assert_eq!(suspicion(&state), None);
+
+    state.apply(loss(2, Verdict::Suspected));
+    start(&mut state, 3);
+    let end = End { number: 1, run: run(3), how: How::Failed, save: String::new() };
+    let worker = "life-3".to_owned();
+    state.apply(Change::Ended { worker, ends: vec![end], unstarted: vec![] });
+    assert_eq!(suspicion(&state), None);
+}
+
+#[test]
+fn losses_are_kept_in_snapshots() {
+    let mut state = state(vec![step(1, 100)]);
+    lose(&mut state, &[Verdict::Suspected, Verdict::Proven]);
+    let bytes = state.encode().unwrap();
+    assert_eq!(State::decode(&bytes).as_ref(), Ok(&state));
+    assert_eq!(suspicion(&state).map(|suspicion| suspicion.proven), Some(1));
+}
+
+/// A lost worker as versions wrote it that kept nothing of losses.
+#[derive(serde::Serialize)]
+enum FormerChange {
+    WorkerLost { worker: String, saves: Vec<(RunName, String)>, over: bool },
+}
+
+#[test]
+fn what_former_versions_wrote_is_read_with_nothing_held_against_anybody() {
+    let former = (3u32, Some("a"), 1u32, false, "save");
+    let bytes = rmp_serde::to_vec(&former).unwrap();
+    let task: Task = rmp_serde::from_slice(&bytes).unwrap();
+    assert_eq!((task.run, task.failed, task.save.as_str()), (3, 1, "save"));
+    assert_eq!(task.suspicion, None);
+
+    let worker = "a".to_owned();
+    let former = FormerChange::WorkerLost { worker: worker.clone(), saves: vec![], over: true };
+    let bytes = rmp_serde::to_vec(&former).unwrap();
+    let lost = Change::WorkerLost { worker, saves: vec![], over: true, blame: vec![] };
+    assert_eq!(Change::decode(&bytes), Ok(lost));
+}
--- a/crates/pond-job/tests/world/book.rs
+++ b/crates/pond-job/tests/world/book.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use pond_proto::Span;
 use pond_proto::job::{RunName, Spec, Step, TaskName};
 use rand::Rng;
 use rand::rngs::StdRng;
@@ -26,6 +27,8 @@
     /// An adviser decides which workers may run it.
     pub advised: bool,
     pub cancelled: bool,
+    /// The first task of the first step takes its worker down so long after its start, in milliseconds.
+    pub crashes_ms: Option<Span>,
 }
 
 impl Work {
@@ -58,6 +61,12 @@
         !advised || self.unit(&[id, number_of(life)]) < ALLOWED
     }
 
+    /// How long after its start a run takes down its worker, in milliseconds; none if it does not.
+    pub fn crashes_ms(&self, run: RunName) -> Option<Span> {
+        let work = self.jobs.get(&run.task.job)?;
+        work.crashes_ms.filter(|_| run.task.step == 0 && run.task.index == 0)
+    }
+
     /// How long a run works, in milliseconds; members of a gang take as long as each other.
     pub fn work_ms(&self, run: RunName, step: &Step) -> f64 {
         let index = if step.gang { 0 } else { run.task.index };
@@ -162,6 +171,7 @@
         hopeless: rng.random_bool(hopeless),
         advised: rng.random_bool(advised),
         cancelled: false,
+        crashes_ms: None,
     }
 }
 
@@ -180,5 +190,19 @@
         lasting = picky(rng, lasting);
     }
     let spec = Spec { text: String::new(), steps: vec![lasting], repeat: None };
-    Work { spec, hopeless: false, advised: false, cancelled: false }
+    Work { spec, hopeless: false, advised: false, cancelled: false, crashes_ms: None }
+}
+
+/// A job whose first task takes down its worker: mostly at once, as seen, else while it works.
+pub fn crashing(rng: &mut StdRng) -> Work {
+    let work = passing(rng, 0.0, 0.0);
+    let crashes_ms = match rng.random_range(0..10) {
+        0..7 => rng.random_range(0..100),
+        7..9 => rng.random_range(100..1_000),
+        _ => rng.random_range(1_000..6_000),
+    };
+    // It would be done before it crashes anything.
+    let long = |step: Step| Step { estimate_ms: step.estimate_ms + 4 * crashes_ms, ..step };
+    let steps = work.spec.steps.into_iter().map(long).collect();
+    Work { spec: Spec { steps, ..work.spec }, crashes_ms: Some(crashes_ms), ..work }
 }
--- a/crates/pond-job/tests/world/fault.rs
+++ b/crates/pond-job/tests/world/fault.rs
@@ -50,6 +50,9 @@
     pub fn begin(&mut self, fault: Fault, end: Millis) {
         let lasts_ms: Span = self.rng.random_range(500..9_000);
         let until = end.min(self.now + lasts_ms);
+        if self.sturdy && matches!(fault, Fault::Crash(_) | Fault::Blackout) {
+            return;
+        }
         match fault {
             Fault::Crash(i) => self.machines[i].crash(),
             Fault::Cut(i) => self.machines[i].cut = true,
--- a/crates/pond-job/tests/world/machine.rs
+++ b/crates/pond-job/tests/world/machine.rs
@@ -2,6 +2,7 @@
 
 use pond_agent::{Answer, Call, Core, Output, Registration, Reply};
 use pond_proto::fleet::{Order, Report};
+use pond_proto::job::TaskName;
 use pond_proto::{Millis, Size, Span};
 
 use super::book::Book;
@@ -38,6 +39,10 @@
     pub join_at: Millis,
     /// Nothing comes through the link, although nobody has noticed.
     pub cut: bool,
+    /// While the worker is down, calls are refused at once and get no silence.
+    pub refuses: bool,
+    /// The task under which the worker went down since the world last asked.
+    pub fallen: Option<TaskName>,
     sequence: u64,
     registered: Millis,
     orders: Vec<(Millis, Order)>,
@@ -57,6 +62,8 @@
             link: None,
             join_at: Millis(0),
             cut: false,
+            refuses: false,
+            fallen: None,
             sequence: 0,
             registered: Millis(0),
             orders: Vec::new(),
@@ -67,6 +74,7 @@
     /// A new life of the worker.
     pub fn boot(&mut self, now: Millis) {
         self.lives += 1;
+        self.refuses = false;
         let life = format!("{}-{}", self.name, self.lives);
         let (room, labels) = (self.room, self.labels.clone());
         self.worker = Some(Worker::new(life, room, labels, now, self.clock_permille));
@@ -110,6 +118,11 @@
     pub fn pass(&mut self, now: Millis, span: Span, book: &Book, whole: &Whole) -> Vec<Report> {
         if let Some(worker) = &mut self.worker {
             worker.work(now, span, book, whole);
+            if let Some(task) = worker.falls_to(now, book) {
+                self.fallen = Some(task);
+                self.refuses = true;
+                self.worker = None;
+            }
         }
         self.register(now);
         for (_, order) in self.orders.extract_if(.., |(due, _)| *due <= now).collect::<Vec<_>>() {
@@ -154,6 +167,7 @@
         let patience = now + call.patience_ms();
         let worker = self.worker.as_mut();
         let (reply, due) = match worker {
+            None if self.refuses => (Some(Reply::NotSent), now),
             None => (Some(Reply::Unknown), patience),
             Some(worker) if worker.life != life => (Some(Reply::OtherLife), now),
             Some(worker) => match (worker.call(now, book, token, &call), &call) {
--- a/crates/pond-job/tests/world/mod.rs
+++ b/crates/pond-job/tests/world/mod.rs
@@ -1,5 +1,6 @@
 //! A pool of machines with real agents, a leader that may be replaced, and jobs that come in, all in
 //! virtual time and drawn from one seed.
+#![allow(dead_code)]
 
 pub mod book;
 pub mod fault;
@@ -7,10 +8,10 @@
 pub mod watch;
 pub mod worker;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-use pond_job::{Change, Decision, Leader, Output, Permit, Question, State};
-use pond_proto::job::{RunName, TaskName};
+use pond_job::{Change, Decision, Leader, Output, Permit, Question, State, Verdict};
+use pond_proto::job::{Phase, RunName, TaskName};
 use pond_proto::{Millis, Size, Span};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -70,6 +71,8 @@
     /// Questions to the adviser, and when it has an answer.
     questions: Vec<(Millis, Question)>,
     links: u64,
+    /// No worker goes down but under a task.
+    pub sturdy: bool,
     /// What the leaders decided.
     pub diary: Vec<(Millis, Decision)>,
     pub watch: Watch,
@@ -104,6 +107,7 @@
             advised,
             questions: Vec::new(),
             links: 0,
+            sturdy: false,
             diary: Vec::new(),
             watch: Watch::default(),
         };
@@ -134,6 +138,7 @@
         for i in 0..self.machines.len() {
             self.link_up(i);
             let reports = self.machines[i].pass(self.now, STEP_MS, &self.book, &whole);
+            self.note_fallen(i);
             let (Some(link), Some(leader)) = (self.machines[i].link, &mut self.leader) else {
                 continue;
             };
@@ -194,8 +199,32 @@
         self.apply(Change::Cancel { host, path, id });
     }
 
+    /// A worker that went down under a task is back after some seconds, as another life.
+    fn note_fallen(&mut self, i: usize) {
+        let Some(task) = self.machines[i].fallen.take() else { return };
+        self.watch.fallen.entry(task).or_default().push(self.now);
+        let back = self.now + self.rng.random_range(1_400..3_500);
+        self.mends.push((back, Fault::Crash(i)));
+    }
+
+    /// Keeps which tasks are given up for what they may have done to workers.
+    fn note_given_up(&mut self, change: &Change, open: &BTreeSet<u64>) {
+        let Change::WorkerLost { blame, .. } = change else { return };
+        self.watch.blames.extend(blame.iter().map(|blame| (self.now, *blame)));
+        for blame in blame.iter().filter(|blame| blame.verdict == Verdict::Proven) {
+            let failed = |id: u64| self.state.job(id).is_some_and(|job| job.phase == Phase::Failed);
+            let id = blame.run.task.job;
+            if open.contains(&id) && failed(id) {
+                self.watch.given_up.insert(blame.run.task, self.now);
+            }
+        }
+    }
+
     fn apply(&mut self, change: Change) {
+        let open = self.state.active().filter(|(_, job)| !job.phase.ended());
+        let open: BTreeSet<u64> = open.map(|(id, _)| id).collect();
         let reply = self.state.apply(change.clone());
+        self.note_given_up(&change, &open);
         if let Some(leader) = &mut self.leader {
             leader.applied(&self.state, self.now, &change, &reply);
         }
--- a/crates/pond-job/tests/world/watch.rs
+++ b/crates/pond-job/tests/world/watch.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use pond_job::{Decision, Job, Obstacle};
+use pond_job::{Blame, Decision, Job, Obstacle};
 use pond_proto::job::{RunName, Step, TaskName};
 use pond_proto::{Millis, Size, Span};
 
@@ -66,6 +66,12 @@
     pub findings: BTreeMap<Waiter, Finding>,
     /// Rules about runs that were broken.
     pub broken: Vec<String>,
+    /// When workers went down under a task.
+    pub fallen: BTreeMap<TaskName, Vec<Millis>>,
+    /// How losses of workers counted.
+    pub blames: Vec<(Millis, Blame)>,
+    /// When a task was given up for workers that went down.
+    pub given_up: BTreeMap<TaskName, Millis>,
 }
 
 impl World {
--- a/crates/pond-job/tests/world/worker.rs
+++ b/crates/pond-job/tests/world/worker.rs
@@ -182,6 +182,14 @@
         self.ends.push(end);
     }
 
+    /// The task that takes the worker down now, if one does.
+    pub fn falls_to(&self, now: Millis, book: &Book) -> Option<TaskName> {
+        let due = |(name, run): &(&RunName, &Run)| {
+            book.crashes_ms(**name).is_some_and(|after| now.since(run.began) >= after)
+        };
+        self.runs.iter().find(due).map(|(name, _)| name.task)
+    }
+
     /// Time passes.
     pub fn work(&mut self, now: Millis, span: Span, book: &Book, whole: &Whole) {
         let due: Vec<Call> =
--- a/crates/pond-log/src/events.rs
+++ b/crates/pond-log/src/events.rs
@@ -160,6 +160,11 @@
         "nothing: its agent slows it down if need be";
     RUN_ABSENT = 622, Warning, "a run that was given to a worker is not on its lists",
         "see whether the worker is linked and answers; look for 614 on its agent";
+    TASK_SUSPECTED = 623, Warning, "a worker went down with a task that may have caused it",
+        "nothing: the task is started apart from others until it has survived; look at it if lines go on";
+    TASK_GIVEN_UP = 624, Error, "a task is given up as its workers go down; its job has failed",
+        "look at the task's program; 623 names the workers that went down with it";
+    TASK_CLEARED = 625, Info, "a task that was there when workers went down has survived", "nothing";
     ADVISED = 619, Info, "the adviser said which workers may run a step", "nothing";
 }
 
--- a/crates/pond-proto/src/fleet.rs
+++ b/crates/pond-proto/src/fleet.rs
@@ -154,6 +154,10 @@
     /// No call to start it can have reached the worker.
     #[prost(bool, tag = "7")]
     pub unsent: bool,
+    /// The worker has answered a call just before the last call to start it, or since: it was not down
+    /// already.
+    #[prost(bool, tag = "8")]
+    pub met: bool,
 }
 
 /// The end of a run at a worker.
@@ -267,6 +271,10 @@
     /// worst of them, in thousandths.
     #[prost(uint32, tag = "5")]
     pub blame_permille: u32,
+    /// Report at once when the worker has lived on with the run for this long, in milliseconds; zero for
+    /// a run of which that is no news.
+    #[prost(uint32, tag = "6")]
+    pub tell_ms: u32,
 }
 
 /// Control to agent: what its worker should do.
--- a/crates/pond-replica/src/audit.rs
+++ b/crates/pond-replica/src/audit.rs
@@ -1,6 +1,6 @@
 //! What a leader writes to the log: its decisions, and what applied changes did.
 
-use pond_job::{Change, Decision, Obstacle, Reply, Start};
+use pond_job::{Blame, Change, Decision, Obstacle, Reply, Start, Verdict};
 use pond_log::event;
 use pond_proto::Span;
 use pond_proto::job::{Phase, RunName, Step};
@@ -42,6 +42,7 @@
                 event!(self.log, JOB_WAITS, "job" => format!("{job:016x}"), "step" => step,
                     "tasks" => tasks, "placed" => placed, "since_ms" => since_ms, "still_ms" => still_ms, "image" => image,
                     "elsewhere" => count(Obstacle::Elsewhere),
+                    "suspect" => count(Obstacle::Suspect),
                     "resting" => count(Obstacle::Resting),
                     "probed" => count(Obstacle::Probed), "no_room" => count(Obstacle::NoRoom),
                     "kept" => count(Obstacle::Kept),
@@ -81,16 +82,36 @@
                     "reply" => format!("{reply:?}"));
             }
             Change::Start(_) => self.log_starts(change.started(reply)),
-            Change::Ended { .. }
-            | Change::WorkerLost { .. }
-            | Change::Forget(_)
-            | Change::Learned(_) => {}
+            Change::Ended { .. } | Change::Forget(_) | Change::Learned(_) => {}
+            Change::WorkerLost { worker, blame, .. } => self.log_blame(worker, blame, reply),
+            Change::Cleared(runs) => {
+                for run in runs {
+                    event!(self.log, TASK_CLEARED, "run" => run.to_string());
+                }
+            }
         }
         if let Reply::Ended(jobs) = reply {
             self.log_ended_jobs(jobs);
         }
     }
 
+    /// Logs which tasks may have taken down a worker, and which are given up for it.
+    fn log_blame(&self, worker: &str, blame: &[Blame], reply: &Reply) {
+        let failed = |job: u64| match reply {
+            Reply::Ended(jobs) => jobs.contains(&(job, Phase::Failed)),
+            _ => false,
+        };
+        for blame in blame.iter().filter(|blame| blame.verdict != Verdict::Beside) {
+            let (run, verdict) = (blame.run.to_string(), format!("{:?}", blame.verdict));
+            event!(self.log, TASK_SUSPECTED, "run" => run.clone(), "worker" => worker.to_owned(),
+                "verdict" => verdict, "lived_ms" => blame.lived_ms);
+            if blame.verdict == Verdict::Proven && failed(blame.run.task.job) {
+                self.metrics.count("tasks_given_up", 1);
+                event!(self.log, TASK_GIVEN_UP, "run" => run, "worker" => worker.to_owned());
+            }
+        }
+    }
+
     fn log_starts(&self, starts: Vec<&Start>) {
         for start in starts {
             event!(self.log, RUN_PLACED, "run" => start.run.to_string(),
