One clock for all decisions that counts suspensions; runs that have not begun are taken back when room shrinks

Cause: agents, entries and replicas counted time from the steady clock, which stands still while a machine is suspended: leases, answers and deadlines seemed younger by all of it. Runs placed on a worker were ordered whatever room it had by then.

Ruled out: stopping what runs when room shrinks below it (work would be thrown away; only starts are bound by the room).

The leader takes back what is placed and not listed when a report or a start shows that it does not fit.

--- a/crates/pond-agent/src/agent.rs
+++ b/crates/pond-agent/src/agent.rs
@@ -1,8 +1,9 @@
 //! The shell around the agent's core.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use pond_clock::Clock;
 use pond_link::Event;
 use pond_log::{Logger, event};
 use pond_proto::Millis;
@@ -59,7 +60,7 @@
     worker: Arc<dyn Worker>,
     sender: mpsc::Sender<Input>,
     inputs: mpsc::Receiver<Input>,
-    start: Instant,
+    clock: Clock,
     log: Logger,
 }
 
@@ -69,17 +70,17 @@
         worker: Arc<dyn Worker>,
         uplink: Uplink,
         links: mpsc::Receiver<Event>,
-        start: Instant,
+        clock: Clock,
         log: Logger,
     ) -> (Agent, Registrar) {
         let (sender, inputs) = mpsc::channel(QUEUE);
         let registrar = Registrar { inputs: sender.clone() };
         let core = Core::new();
-        (Agent { core, uplink, links, worker, sender, inputs, start, log }, registrar)
+        (Agent { core, uplink, links, worker, sender, inputs, clock, log }, registrar)
     }
 
     fn now(&self) -> Millis {
-        Millis(self.start.elapsed().as_millis() as u64)
+        self.clock.now()
     }
 
     /// Runs until it is cut short.
--- a/crates/pond-clock/src/source.rs
+++ b/crates/pond-clock/src/source.rs
@@ -20,7 +20,10 @@
 
 impl Source for System {
     fn boot(&self) -> Duration {
-        read(ClockId::CLOCK_MONOTONIC).unwrap_or_default()
+        // Without it (a kernel of before 2011) the steady clock has to do.
+        read(ClockId::CLOCK_BOOTTIME)
+            .or_else(|_| read(ClockId::CLOCK_MONOTONIC))
+            .unwrap_or_default()
     }
 
     fn wall(&self) -> Duration {
--- a/crates/pond-control/src/lib.rs
+++ b/crates/pond-control/src/lib.rs
@@ -4,7 +4,6 @@
 //! operators and for the platform feed it through one bounded ring and take its orders through
 //! others.
 
-mod clock;
 mod formation;
 mod operator;
 mod platform;
--- a/crates/pond-control/src/platform.rs
+++ b/crates/pond-control/src/platform.rs
@@ -8,7 +8,6 @@
 use pond_proto::{Millis, VmKey};
 use tokio::sync::{Semaphore, mpsc};
 
-use crate::clock::Clock;
 use crate::reconcile::{Answer, Call, Fact};
 use crate::ring::Input;
 
@@ -39,7 +38,6 @@
     platform: Arc<dyn Platform>,
     mut orders: mpsc::Receiver<Order>,
     ring: Sender<Input>,
-    _clock: Clock,
 ) {
     let lister = tokio::spawn(read_list(platform.clone(), ring.clone()));
     let room = Arc::new(Semaphore::new(CALLS));
--- a/crates/pond-control/src/process.rs
+++ b/crates/pond-control/src/process.rs
@@ -16,12 +16,12 @@
 use pond_store::{Folder, Store, Writer};
 use tokio::sync::mpsc;
 
-use crate::clock::Clock;
 use crate::operator::{self, Api, Tokens};
 use crate::platform;
 use crate::reconcile::Times;
 use crate::replica::{Parts, Replica};
 use crate::ring::{Input, RING};
+use pond_clock::Clock;
 
 /// Events of links that may wait on their way to the ring.
 const LINK_EVENTS: usize = 4096;
@@ -97,7 +97,7 @@
         process.start_links(settings, internal)?;
         process.start_operators(control.listen.operator, tokens)?;
         let platform: Arc<dyn Platform> = Arc::new(HttpPlatform::new(control.platform));
-        process.start_platform(platform, order_queue, clock)?;
+        process.start_platform(platform, order_queue)?;
         event!(log, STARTED, "internal" => control.listen.internal.to_string(),
             "operator" => control.listen.operator.to_string());
         Ok(process)
@@ -177,10 +177,9 @@
         &mut self,
         platform: Arc<dyn Platform>,
         orders: mpsc::Receiver<platform::Order>,
-        clock: Clock,
     ) -> Result<(), Error> {
         let ring = self.ring.clone();
-        self.threads.spawn("platform", move || platform::run(platform, orders, ring, clock))
+        self.threads.spawn("platform", move || platform::run(platform, orders, ring))
     }
 
     /// Whether the deciding thread has ended, as it does when the files fail.
--- a/crates/pond-control/src/replica/mod.rs
+++ b/crates/pond-control/src/replica/mod.rs
@@ -23,13 +23,13 @@
 use pond_store::{Recovered, Writer};
 use tokio::sync::mpsc;
 
-use crate::clock::Clock;
 use crate::formation::Formation;
 use crate::platform::Order;
 use crate::publish::Publisher;
 use crate::reconcile::{Answer, Reconciler, Times};
 use crate::ring::Input;
 use crate::tickets::Tickets;
+use pond_clock::Clock;
 
 /// Inputs that are taken in before outputs are carried out.
 const BATCH: usize = 2048;
--- a/crates/pond-endpoint/src/serve.rs
+++ b/crates/pond-endpoint/src/serve.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use pond_clock::Clock;
 use pond_follow::{Control, Told};
 use pond_http::{Call, Client, HeaderMap, HeaderName, HeaderValue, Method};
 use pond_link::{Event, EventKind, LinkKey, Sender, Terms, accept};
@@ -58,7 +59,7 @@
     senders: BTreeMap<LinkKey, Sender>,
     client: Client,
     ends: mpsc::Sender<Ended>,
-    start: Instant,
+    clock: Clock,
     log: Logger,
 }
 
@@ -77,7 +78,7 @@
         senders: BTreeMap::new(),
         client: Client::new().with_answer_bytes(answer_bytes),
         ends,
-        start: Instant::now(),
+        clock: Clock::new(),
         log,
     };
     let mut ticks = tokio::time::interval(TICK);
@@ -111,7 +112,7 @@
 
 impl Serve {
     fn now(&self) -> Micros {
-        Micros(self.start.elapsed().as_micros() as u64)
+        Micros(self.clock.elapsed().as_micros() as u64)
     }
 
     fn tick(&mut self) {
--- a/crates/pond-entry/src/route.rs
+++ b/crates/pond-entry/src/route.rs
@@ -2,8 +2,9 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use pond_clock::Clock;
 use pond_follow::{Control, Told};
 use pond_link::{Event, EventKind, LinkKey, Sender, Terms, dial};
 use pond_log::{Logger, Metrics, event};
@@ -69,7 +70,7 @@
     events: mpsc::Sender<Event>,
     waiting: HashMap<RequestId, oneshot::Sender<(RequestId, Finish)>>,
     next_number: u64,
-    start: Instant,
+    clock: Clock,
     log: Logger,
     metrics: Metrics,
 }
@@ -89,7 +90,7 @@
         events,
         waiting: HashMap::new(),
         next_number: 0,
-        start: Instant::now(),
+        clock: Clock::new(),
         log,
         metrics,
     };
@@ -118,7 +119,7 @@
 
 impl Route {
     fn now(&self) -> Micros {
-        Micros(self.start.elapsed().as_micros() as u64)
+        Micros(self.clock.elapsed().as_micros() as u64)
     }
 
     fn ask(&mut self, asked: Asked) {
--- a/crates/pond-intake/src/intake.rs
+++ b/crates/pond-intake/src/intake.rs
@@ -3,8 +3,9 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use pond_clock::Clock;
 use pond_link::Event;
 use pond_log::{Logger, event};
 use pond_proto::fleet::{Target, Verb};
@@ -72,7 +73,7 @@
     configured: bool,
     /// When there was last a leader.
     led: Millis,
-    start: Instant,
+    clock: Clock,
     log: Logger,
 }
 
@@ -81,7 +82,7 @@
     pub fn new(
         uplink: Uplink,
         links: mpsc::Receiver<Event>,
-        start: Instant,
+        clock: Clock,
         log: Logger,
     ) -> (Intake, Handle) {
         let (sender, inputs) = mpsc::channel(QUEUE);
@@ -96,14 +97,14 @@
             ready,
             configured: false,
             led: Millis(0),
-            start,
+            clock,
             log,
         };
         (intake, handle)
     }
 
     fn now(&self) -> Millis {
-        Millis(self.start.elapsed().as_millis() as u64)
+        self.clock.now()
     }
 
     /// Runs until all handles are gone or it is cut short.
--- a/crates/pond-job/src/lead/mod.rs
+++ b/crates/pond-job/src/lead/mod.rs
@@ -28,6 +28,7 @@
 mod rank;
 mod ready;
 mod regression;
+mod room;
 mod suspect;
 mod wait;
 mod worker;
@@ -179,6 +180,7 @@
             self.harm.learn(state, now, &report);
             self.evict(state, now, &life, &report);
         }
+        self.withdraw_misfits(state, &life);
         self.propose_ends(state, now, &life, &report);
         self.watch_progress(state, now, &life, &report);
         self.clear_survivors(state, now, &report);
@@ -200,6 +202,7 @@
                 for start in starts {
                     self.begun.insert(start.worker.clone(), now);
                     self.touch(&start.worker);
+                    self.withdraw_misfits(state, &start.worker);
                 }
             }
             Change::Ended { worker, ends, .. } => {
--- a/crates/pond-quorum/tests/suspension.rs
+++ b/crates/pond-quorum/tests/suspension.rs
@@ -3,8 +3,9 @@
 use pond_test::{Cluster, Faults, cases};
 use proptest::prelude::*;
 
-/// The clocks that replicas are run with.
-const STEADY: bool = true;
+/// The clocks that replicas are run with go on during a suspension. With ones that stand still, as the steady
+/// clock of the standard library, the first of these tests finds two holders of the lease.
+const STEADY: bool = false;
 
 proptest! {
     #![proptest_config(cases(300))]
--- a/crates/pond-replica/src/replica.rs
+++ b/crates/pond-replica/src/replica.rs
@@ -3,8 +3,9 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
+use pond_clock::Clock;
 use pond_job::{Change, Leader, State, Terms};
 use pond_link::{Event, LinkKey, Sender};
 use pond_log::{Logger, Metrics, event};
@@ -106,7 +107,7 @@
     pub(crate) stopping: Option<Millis>,
     links: mpsc::Receiver<Event>,
     requests: mpsc::Receiver<Request>,
-    start: Instant,
+    clock: Clock,
 }
 
 impl Replica {
@@ -119,7 +120,7 @@
         files: (Store, Recovered),
         listener: TcpListener,
         adviser: Arc<dyn Adviser>,
-        start: Instant,
+        clock: Clock,
         metrics: Metrics,
         log: Logger,
     ) -> Result<(Replica, Handle), String> {
@@ -127,7 +128,7 @@
         let state = recovered_state(&recovered, &log)?;
         let formation = formation(&settings, &recovered);
         let applied = recovered.snapshot.as_ref().map_or(0, |snapshot| snapshot.head.index);
-        let core = core(recovered, Members::default(), now(start));
+        let core = core(recovered, Members::default(), clock.now());
         let (requests, request_queue) = mpsc::channel(REQUESTS);
         let (events, links) = mpsc::channel(EVENTS);
         let peers = Peers::start(&settings, listener, events, log.clone());
@@ -154,22 +155,18 @@
             stopping: None,
             links,
             requests: request_queue,
-            start,
+            clock,
         };
         Ok((replica, handle))
     }
 
     pub(crate) fn now(&self) -> Millis {
-        now(self.start)
+        self.clock.now()
     }
 
     /// Time of day in milliseconds since 1970; only timed jobs and the order of jobs depend on it.
     pub(crate) fn wall(&self) -> Millis {
-        match SystemTime::now().duration_since(UNIX_EPOCH) {
-            Ok(since) => Millis(since.as_millis() as u64),
-            // A clock before 1970 is no time of day at all; jobs then keep the order of their ids.
-            Err(_) => Millis(0),
-        }
+        self.clock.wall()
     }
 
     /// Runs until it is stopped.
@@ -305,10 +302,6 @@
     Formation::new(own, first, formed)
 }
 
-fn now(start: Instant) -> Millis {
-    Millis(start.elapsed().as_millis() as u64)
-}
-
 fn core(recovered: Recovered, members: Members, now: Millis) -> Core {
     let image =
         |snapshot: Snapshot| SnapshotImage { head: snapshot.head, data: Arc::new(snapshot.data) };
--- a/crates/pond-replica/tests/support/mod.rs
+++ b/crates/pond-replica/tests/support/mod.rs
@@ -5,8 +5,9 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use pond_clock::Clock;
 use pond_job::{Permit, Question, Terms};
 use pond_log::Metrics;
 use pond_replica::{Adviser, Handle, Replica, Settings};
@@ -63,7 +64,7 @@
     let files = Store::open(Box::new(disk)).expect("opens");
     let (metrics, log) = (Metrics::kept(), pond_log::silent());
     let adviser = Arc::new(Nobody);
-    let started = Replica::start(settings, files, listener, adviser, Instant::now(), metrics, log);
+    let started = Replica::start(settings, files, listener, adviser, Clock::new(), metrics, log);
     let (replica, handle) = started.expect("it starts");
     let task = tokio::spawn(async move { replica.run().await.expect("its files last") });
     (handle, task)
