--- a/crates/pond-agent/tests/core.rs
+++ b/crates/pond-agent/tests/core.rs
@@ -5,7 +5,8 @@
 
 use std::collections::BTreeMap;
 
-use pond_agent::{Call, Refusal, Reply};
+use pond_agent::{Call, Refusal, Registration, Reply};
+use pond_proto::Size;
 use pond_proto::fleet::{Order, StartOrder, Watch};
 use pond_proto::job::How;
 use support::{Bench, LIFE, filling, is_look, is_pace, is_start, is_stop, run, serving};
@@ -349,3 +350,45 @@
     bench.pass(1);
     assert!(bench.gone().left);
 }
+
+/// A report of another writer may name a life that is there.
+#[test]
+fn registration_that_names_another_pool_or_address_changes_nothing_of_a_life() {
+    let strange = |change: fn(&mut Registration)| {
+        let mut registration = Registration {
+            life: LIFE.to_owned(),
+            address: "127.0.0.1:1".to_owned(),
+            room: Size::new(4_000, 1_000, 0),
+            clock_ms: 90_000,
+            sequence: 9,
+            ..Registration::default()
+        };
+        change(&mut registration);
+        let mut bench = Bench::new();
+        bench.core.registered(bench.now, registration);
+        bench.pass(900);
+        bench.last().clone()
+    };
+    let other_pool = strange(|registration| registration.pool = "others".to_owned());
+    assert_eq!((other_pool.pool.as_str(), other_pool.clock_ms), ("", 50_000));
+    let other_address = strange(|registration| registration.address = "127.0.0.2:1".to_owned());
+    assert_eq!(other_address.clock_ms, 50_000);
+    assert_eq!(strange(|_| ()).clock_ms, 90_000);
+}
+
+#[test]
+fn change_of_room_is_told_at_once() {
+    let mut bench = Bench::new();
+    bench.pass(900);
+    let registration = Registration {
+        life: LIFE.to_owned(),
+        address: "127.0.0.1:1".to_owned(),
+        room: Size::new(1_000, 1_000, 0),
+        clock_ms: 51_000,
+        sequence: 2,
+        ..Registration::default()
+    };
+    bench.core.registered(bench.now, registration);
+    bench.pass(1);
+    assert_eq!(bench.last().milli_cpu, 1_000);
+}
