Reports of other writers name no worker to use and change none

Ruled out: closing the sender's link or dropping what it sends later (each report is a request of its own, answered with 400).

--- a/crates/pond-agent/src/core/mod.rs
+++ b/crates/pond-agent/src/core/mod.rs
@@ -141,21 +141,35 @@
     pub fn news_in(&self, registration: &Registration) -> bool {
         let known = self.worker.as_ref();
         known.is_none_or(|known| {
-            known.life != registration.life || known.draining != registration.draining
+            known.life != registration.life
+                || known.draining != registration.draining
+                || known.room != registration.room
+        })
+    }
+
+    /// Whether a registration that names the known life cannot be its own: a life has one pool and one
+    /// address.
+    pub fn foreign(&self, registration: &Registration) -> bool {
+        let known = self.worker.as_ref().filter(|known| known.life == registration.life);
+        known.is_some_and(|known| {
+            known.pool != registration.pool || known.address != registration.address
         })
     }
 
     /// The worker says something of itself. From a draining worker's on, nothing is started.
     pub fn registered(&mut self, now: Millis, registration: Registration) {
-        if self.over.contains(&registration.life) {
+        if self.over.contains(&registration.life) || self.foreign(&registration) {
             return;
         }
         let known = self.worker.as_ref().filter(|worker| worker.life == registration.life);
         match known {
             None => return self.claim(now, registration),
             Some(known) if registration.sequence <= known.sequence => return,
-            Some(known) if known.draining != registration.draining => self.news = true,
-            Some(_) => {}
+            // Room that has shrunk is told before the leader counts on it again.
+            Some(known) => {
+                self.news |= known.draining != registration.draining;
+                self.news |= known.room != registration.room;
+            }
         }
         if registration.draining {
             self.start_nothing_more(now);
