Registrations far ahead of a worker's clock or count change nothing

Cause: the clock of any registration of the known life was taken; with one far ahead the leader's lease end overflows, and the worker's real clock stands still for it ever after, so that its runs are placed elsewhere while it goes on.

Change: a registration whose clock is more than 5 s ahead of the agent's reckoning, or whose count jumps by 100,000, is not the life's own; a new life's clock is the one that it answers with.

Ruled out: bounding it in the leader, which has no clock of the worker's machine to compare.

--- a/crates/pond-agent/src/agent.rs
+++ b/crates/pond-agent/src/agent.rs
@@ -144,9 +144,9 @@
     }
 
     fn registered(&mut self, now: Millis, registration: Registration) {
-        if self.core.foreign(&registration) {
+        if self.core.foreign(now, &registration) {
             event!(self.log, CALL_FAILED, "worker" => registration.life.clone(),
-                "why" => "a registration of this life names another pool or address");
+                "why" => "a registration of this life that is not its own");
         } else if self.core.news_in(&registration) {
             event!(self.log, WORKER_REGISTERED, "worker" => registration.life.clone(),
                 "draining" => registration.draining, "sequence" => registration.sequence);
--- a/crates/pond-agent/src/core/answers.rs
+++ b/crates/pond-agent/src/core/answers.rs
@@ -138,7 +138,14 @@
     /// runs of which nothing can be read any more are given up.
     pub(super) fn note_clock(&mut self, now: Millis, clock_ms: u64) {
         if now.since(self.listed) < UNREAD_MS {
-            self.clock_ms = self.clock_ms.max(clock_ms);
+            self.read_clock(now, clock_ms);
+        }
+    }
+
+    fn read_clock(&mut self, now: Millis, clock_ms: u64) {
+        if clock_ms > self.clock_ms {
+            self.clock_ms = clock_ms;
+            self.clocked = now;
         }
     }
 
@@ -155,7 +162,7 @@
             self.look_due = now + wait_again_ms(&mut self.look_fails);
             return;
         };
-        self.clock_ms = self.clock_ms.max(answer.clock_ms.unwrap_or(0));
+        self.read_clock(now, answer.clock_ms.unwrap_or(0));
         self.look_fails = 0;
         self.listed = now;
         self.answered = true;
--- a/crates/pond-agent/src/core/claim.rs
+++ b/crates/pond-agent/src/core/claim.rs
@@ -77,6 +77,8 @@
             }
             _ => {
                 self.adopt(now, found);
+                // What it answers goes before what a registration said.
+                self.clock_ms = answer.clock_ms.unwrap_or(self.clock_ms);
                 self.look_answer(now, look, answer);
             }
         }
--- a/crates/pond-agent/src/core/mod.rs
+++ b/crates/pond-agent/src/core/mod.rs
@@ -24,6 +24,13 @@
 /// Lives that are over and remembered as such, the newest: their registrations may still come late.
 const OVER_KEPT: usize = 16;
 
+/// A worker's clock may have gone on by this much more than the agent's since it was last read, in
+/// milliseconds: a worker may be late to read it, or its clock fast by a hundredth over a minute or two.
+const CLOCK_SLACK_MS: Span = 5_000;
+
+/// Registrations that an agent may miss between two, as during a cut of a day with one a second.
+const MOST_MISSED: u64 = 100_000;
+
 /// A suspect is started without an answer of its worker after this time, in milliseconds: the worker may be
 /// well and its answers lost.
 const MEET_MS: Span = 300;
@@ -96,6 +103,8 @@
     claims: Vec<Claim>,
     /// The worker's clock, in milliseconds.
     clock_ms: u64,
+    /// When it was last read.
+    clocked: Millis,
     /// The highest term of a leader.
     term: u64,
     /// The highest fencing token that a worker refused as too low; zero for none.
@@ -148,17 +157,21 @@
     }
 
     /// Whether a registration that names the known life cannot be its own: a life has one pool and one
-    /// address.
-    pub fn foreign(&self, registration: &Registration) -> bool {
+    /// address, its clock goes about as fast as the agent's, and it counts its registrations.
+    pub fn foreign(&self, now: Millis, registration: &Registration) -> bool {
         let known = self.worker.as_ref().filter(|known| known.life == registration.life);
         known.is_some_and(|known| {
-            known.pool != registration.pool || known.address != registration.address
+            let ahead_ms = registration.clock_ms.saturating_sub(self.clock_ms);
+            known.pool != registration.pool
+                || known.address != registration.address
+                || ahead_ms > now.since(self.clocked) + CLOCK_SLACK_MS
+                || registration.sequence.saturating_sub(known.sequence) > MOST_MISSED
         })
     }
 
     /// The worker says something of itself. From a draining worker's on, nothing is started.
     pub fn registered(&mut self, now: Millis, registration: Registration) {
-        if self.over.contains(&registration.life) || self.foreign(&registration) {
+        if self.over.contains(&registration.life) || self.foreign(now, &registration) {
             return;
         }
         let known = self.worker.as_ref().filter(|worker| worker.life == registration.life);
@@ -206,6 +219,7 @@
             fenced: self.fenced,
             listed: now,
             alive: now,
+            clocked: now,
             looks: self.looks,
             outputs: std::mem::take(&mut self.outputs),
             ..Core::default()
