Units that are lost soon after each start wait longer each time

Cause: the same class as the crashing tasks: a unit whose VM is lost was placed again at once, whatever had happened to it before.

Change: from the second loss in a row within 30 s of a start on a unit waits 1 s, doubled each time, as after failures; a run that lives longer starts anew.

Ruled out: a proof as in jobs of several steps; the platform's VM list does not tell why a VM went.

--- a/crates/pond-state/src/place.rs
+++ b/crates/pond-state/src/place.rs
@@ -15,6 +15,10 @@
 /// Wait after the first failure of a job, in milliseconds; doubled with each more.
 const BACKOFF_MS: Span = 1_000;
 
+/// A task that is lost with its VM within this time of its start may have taken it down, in milliseconds:
+/// most VMs go for reasons of their own, which are a matter of days and not of seconds.
+const SOON_MS: Span = 30_000;
+
 /// The longest wait after a failure, in milliseconds.
 const BACKOFF_LIMIT_MS: Span = 300_000;
 
@@ -228,6 +232,14 @@
         if record.ended() {
             return;
         }
+        if end == End::Lost {
+            // The first loss is nobody's fault: the replica is needed at once.
+            let soon = task.started.is_none_or(|at| clock.since(at) < SOON_MS);
+            record.losses = if soon { record.losses + 1 } else { 0 };
+            if record.losses > 1 {
+                record.not_before = clock + backoff(record.losses - 1);
+            }
+        }
         match (end, job) {
             (End::Done, Some(_)) => record.standing = Standing::Done,
             (End::Stopped { checkpoint }, Some(_)) => {
--- a/crates/pond-state/src/unit.rs
+++ b/crates/pond-state/src/unit.rs
@@ -62,6 +62,9 @@
     pub failures: u32,
     /// VMs on which a run failed.
     pub failed_on: BTreeSet<VmKey>,
+    /// How often in a row a task was lost soon after its start. (Snapshots of earlier versions have none.)
+    #[serde(default)]
+    pub losses: u32,
     /// How often it was moved.
     pub moves: u32,
     /// It is not placed before this time.
@@ -83,6 +86,7 @@
             resume: None,
             failures: 0,
             failed_on: BTreeSet::new(),
+            losses: 0,
             moves: 0,
             not_before: Millis(0),
             decisions: VecDeque::new(),
