Tests of what a lost worker proves

Change: a test of it, and of the other conditions of a proof (the worker lived when the run began; no others went down with it; a run that cannot have begun and a worker that left are evidence of nothing).

Conclusion: each rule has its test.

--- a/crates/pond-job/tests/crashes.rs
+++ b/crates/pond-job/tests/crashes.rs
@@ -10,7 +10,8 @@
 
 mod support;
 
-use pond_proto::job::Phase;
+use pond_job::Task;
+use pond_proto::job::{Phase, Step};
 use support::crashing::Pool;
 use support::{step, task};
 
@@ -58,3 +59,19 @@
         assert_eq!(pool.bench.phase(id), Some(Phase::Completed), "job {id}");
     }
 }
+
+#[test]
+fn only_what_has_just_begun_is_suspected() {
+    let mut pool = Pool::new(1);
+    pool.bench.submit(1, vec![Step { lasting: true, ..step(2, 1_000) }]);
+    pool.pass(5_000);
+    pool.culprits.insert(task(2, 0, 0));
+    pool.bench.submit(2, vec![step(1, 1_000)]);
+    pool.pass(5_000);
+    let suspect = |id, index| {
+        let job = pool.bench.state.job(id).expect("a job");
+        job.task(task(id, 0, index)).is_some_and(Task::suspect)
+    };
+    assert!(pool.crashes > 0 && suspect(2, 0));
+    assert!(!suspect(1, 0) && !suspect(1, 1));
+}
--- a/crates/pond-job/tests/suspicion.rs
+++ b/crates/pond-job/tests/suspicion.rs
@@ -4,8 +4,9 @@
 
 use pond_job::{Blame, Change, End, Start, State, Suspicion, Task, Verdict};
 use pond_proto::Millis;
+use pond_proto::fleet::{Report, RunRow};
 use pond_proto::job::{How, Phase, RunName, Step};
-use support::{HOST, PATH, configuration, spec, step, task};
+use support::{Bench, HOST, PATH, configuration, spec, step, task};
 
 fn state(steps: Vec<Step>) -> State {
     let mut state = State::new();
@@ -132,3 +133,76 @@
     let lost = Change::WorkerLost { worker, saves: vec![], over: true, blame: vec![] };
     assert_eq!(Change::decode(&bytes), Ok(lost));
 }
+
+/// A life is over; it had these runs at last, and had lived on with each for so long.
+fn gone(bench: &mut Bench, life: &str, runs: &[(RunName, u32)], met: bool, left: bool) {
+    let row = |(run, lived_ms): &(RunName, u32)| RunRow {
+        run: *run,
+        lived_ms: *lived_ms,
+        met,
+        ..RunRow::default()
+    };
+    let runs = runs.iter().map(row).collect();
+    let report = Report { worker: life.to_owned(), gone: true, left, runs, ..Report::default() };
+    let (link, agent) = (bench.vms[life].link, bench.vms[life].agent.clone());
+    bench.leader.report(&bench.state, bench.now, link, &agent, report);
+    bench.settle();
+}
+
+/// Two workers without serving work, with a job of one task that was just given to the first of them.
+fn just_begun() -> (Bench, String, RunName) {
+    let mut bench = Bench::new().with_vm("a", 4_000).with_vm("b", 4_000);
+    bench.submit(1, vec![step(1, 1_000)]);
+    bench.settle();
+    let life = bench.place_of(task(1, 0, 0)).expect("a place");
+    let run = bench.started(&life)[0];
+    (bench, life, run)
+}
+
+fn verdicts(bench: &Bench) -> Vec<Verdict> {
+    let lost = bench.proposed.iter().filter_map(|change| match change {
+        Change::WorkerLost { blame, .. } => Some(blame.iter().map(|blame| blame.verdict)),
+        _ => None,
+    });
+    lost.flatten().collect()
+}
+
+#[test]
+fn worker_that_lived_when_the_only_new_run_began_is_a_proof() {
+    let (mut bench, life, run) = just_begun();
+    gone(&mut bench, &life, &[(run, 0)], true, false);
+    assert_eq!(verdicts(&bench), [Verdict::Proven]);
+}
+
+#[test]
+fn worker_that_may_have_been_down_before_the_run_began_is_no_proof() {
+    let (mut bench, life, run) = just_begun();
+    gone(&mut bench, &life, &[(run, 0)], false, false);
+    assert_eq!(verdicts(&bench), [Verdict::Suspected]);
+}
+
+#[test]
+fn run_that_cannot_have_begun_and_worker_that_left_are_evidence_of_nothing() {
+    let (mut bench, life, _) = just_begun();
+    gone(&mut bench, &life, &[], true, false);
+    assert!(verdicts(&bench).is_empty());
+    let (mut bench, life, run) = just_begun();
+    gone(&mut bench, &life, &[(run, 0)], true, true);
+    assert!(verdicts(&bench).is_empty());
+}
+
+#[test]
+fn workers_that_go_down_together_prove_nothing() {
+    let mut bench = Bench::new();
+    for life in ["a", "b", "c"] {
+        bench.add_vm(life, 4_000);
+    }
+    bench.submit(2, vec![step(3, 4_000)]);
+    bench.settle();
+    let of = |bench: &Bench, life: &str| bench.started(life)[0];
+    let runs = ["a", "b", "c"].map(|life| of(&bench, life));
+    gone(&mut bench, "a", &[(runs[0], 3_000)], true, false);
+    gone(&mut bench, "b", &[(runs[1], 3_000)], true, false);
+    gone(&mut bench, "c", &[(runs[2], 0)], true, false);
+    assert_eq!(verdicts(&bench), [Verdict::Beside, Verdict::Beside, Verdict::Beside]);
+}
