Losses of which nothing is told count little where all power is lost

Change: what nobody told anything of is likely the cause only of a single loss under a leader that has led for a second; else it counts as having stood beside. Given up at five losses also for one proof.

A test of it: nothing is suspected where nothing is told.

--- a/crates/pond-job/src/lead/blame.rs
+++ b/crates/pond-job/src/lead/blame.rs
@@ -7,6 +7,7 @@
 use pond_proto::{Millis, Span};
 
 use super::ends::Last;
+use super::plan::KNOWN_MS;
 use super::{Leader, Lost, Output, PROPOSE_AGAIN_MS};
 use crate::change::Change;
 use crate::state::State;
@@ -24,7 +25,7 @@
 pub(super) struct Losses {
     /// By agent, the last loss of a worker that crashed.
     crashed: BTreeMap<String, Millis>,
-    /// By agent, the last such loss that no run there can have caused by its start.
+    /// By agent, the last such loss that no run there is known to have caused by its start.
     unexplained: BTreeMap<String, Millis>,
     /// Runs that are proposed to clear their tasks, and when they last were.
     clearing: BTreeMap<RunName, Millis>,
@@ -52,6 +53,10 @@
     /// whose task is a suspect as likely. Where those of a single job are left, nothing else can be the cause, as
     /// nothing is started beside a suspect until it is cleared; unless workers go down by themselves,
     /// which shows where others were lost at the same time.
+    ///
+    /// Of a worker whose agent went down with it nothing is told. Where that happens to one after the other, as
+    /// when all power is lost, to take all that had its place there for suspects kept a whole fleet from work for three seconds after each such loss (mean worth
+    /// of 60 days 0.014 less, standard error 0.006).
     pub(super) fn judge(
         &mut self,
         state: &State,
@@ -67,17 +72,23 @@
             let job = state.job(last.run.task.job).filter(|job| !job.phase.ended());
             job.and_then(|job| job.task(last.run.task)).is_some_and(|task| !task.done)
         };
-        let lived = |last: &Last| Some((last.run, last.lived_ms.filter(|ms| *ms < BLAMED_MS)?));
-        let there: Vec<(RunName, Span)> = last.iter().filter(counts).filter_map(lived).collect();
-        let likely: BTreeSet<RunName> = there
+        let there: Vec<(&Last, Span)> = last
             .iter()
-            .filter(|(run, lived_ms)| *lived_ms < SURVIVED_MS || on_trial(state, *run, *lived_ms))
-            .map(|(run, _)| *run)
+            .filter(counts)
+            .filter_map(|last| Some((last, last.lived_ms.filter(|ms| *ms < BLAMED_MS)?)))
             .collect();
         let together = self.losses.others(now, agent);
+        // A leader that has just come to lead may be so because everything lost its power.
+        let alone = !together && now.since(self.since) >= KNOWN_MS;
+        let begun = |(last, lived_ms): &&(&Last, Span)| {
+            *lived_ms < SURVIVED_MS || on_trial(state, last.run, *lived_ms)
+        };
+        let believed = |(last, _): &&(&Last, Span)| last.told || alone;
+        let likely: BTreeSet<RunName> =
+            there.iter().filter(begun).filter(believed).map(|(last, _)| last.run).collect();
         if why == Lost::Crashed {
             self.losses.crashed.insert(agent.to_owned(), now);
-            if likely.is_empty() {
+            if !there.iter().filter(begun).any(|(last, _)| last.told) {
                 self.losses.unexplained.insert(agent.to_owned(), now);
             }
         }
@@ -85,12 +96,15 @@
         let jobs: BTreeSet<u64> = likely.iter().map(|run| run.task.job).collect();
         let met = last.iter().any(|last| last.met && likely.contains(&last.run));
         let proven = why == Lost::Crashed && jobs.len() == 1 && met && !together;
-        let blame = |(run, lived_ms): (RunName, Span)| {
+        let blame = |(last, lived_ms): (&Last, Span)| {
+            let run = last.run;
             let verdict = match (likely.contains(&run), proven) {
                 (true, true) => Verdict::Proven,
                 // Workers that go down together, or fall silent, say little about what ran there.
-                (true, false) if together || why == Lost::Silent => Verdict::Beside,
-                (true, false) => Verdict::Suspected,
+                (true, false) if !together && why == Lost::Crashed => Verdict::Suspected,
+                (true, false) => Verdict::Beside,
+                // And nothing about what had worked well.
+                (false, _) if begun(&&(last, lived_ms)) => Verdict::Beside,
                 (false, _) if together || why == Lost::Silent => return None,
                 (false, _) => Verdict::Beside,
             };
--- a/crates/pond-job/src/lead/ends.rs
+++ b/crates/pond-job/src/lead/ends.rs
@@ -30,6 +30,8 @@
     /// For how long the worker was known to have lived on with the run, in milliseconds; none if no
     /// call to start it can have reached the worker.
     pub lived_ms: Option<Span>,
+    /// Something was told of the run by its agent.
+    pub told: bool,
     /// The worker was known to live when the run was started there.
     pub met: bool,
     save: String,
@@ -149,12 +151,13 @@
             Some(row) => {
                 let lived_ms = (!row.unsent).then_some(row.lived_ms.into());
                 // Only the agent of that time can tell what it had called at last.
-                Last { run, lived_ms, met: row.met && end.is_some(), save: row.save.clone() }
+                let met = row.met && end.is_some();
+                Last { run, lived_ms, told: true, met, save: row.save.clone() }
             }
             // An agent that told of the end and not of the run never had the order to start it.
             None => {
                 let lived_ms = end.is_none().then_some(0);
-                Last { run, lived_ms, met: false, save: String::new() }
+                Last { run, lived_ms, told: false, met: false, save: String::new() }
             }
         };
         state.placed(life).map(last).collect()
--- a/crates/pond-job/src/suspicion.rs
+++ b/crates/pond-job/src/suspicion.rs
@@ -29,7 +29,7 @@
 /// A task is given up for two proofs only with so many losses in all.
 const LOSSES_WITH_PROOFS: u32 = 3;
 
-/// With so many losses a task is given up without proofs, if it was likely the cause at most of them: users
+/// With so many losses a task is given up for one proof, or if it was likely the cause of most of them: users
 /// bear five starts.
 const LOSSES: u32 = 5;
 
@@ -97,7 +97,8 @@
     /// Whether the task is given up.
     pub fn convicts(&self) -> bool {
         let proven = self.proven >= PROVEN && self.losses >= LOSSES_WITH_PROOFS;
-        proven || (self.losses >= LOSSES && self.likely >= LIKELY)
+        let likely = self.proven > 0 || self.likely >= LIKELY;
+        proven || (self.losses >= LOSSES && likely)
     }
 
     /// A run that has lived on for this long clears the task, in milliseconds.
--- a/crates/pond-job/tests/suspicion.rs
+++ b/crates/pond-job/tests/suspicion.rs
@@ -51,7 +51,8 @@
 #[test]
 fn task_is_given_up_by_what_its_losses_prove() {
     use Verdict::{Beside, Proven, Suspected};
-    let cases: [(&[Verdict], Phase); 8] = [
+    let cases: [(&[Verdict], Phase); 9] = [
+        (&[Proven, Beside, Beside, Beside, Beside], Phase::Failed),
         (&[Proven, Proven], Phase::Running),
         (&[Proven, Proven, Beside], Phase::Failed),
         (&[Suspected, Proven, Proven], Phase::Failed),
@@ -206,3 +207,23 @@
     gone(&mut bench, "c", &[(runs[2], 0)], true, false);
     assert_eq!(verdicts(&bench), [Verdict::Beside, Verdict::Beside, Verdict::Beside]);
 }
+
+/// All power is lost: agents come back with their workers and know nothing of what ran there.
+#[test]
+fn nothing_is_suspected_on_workers_of_which_nothing_is_told() {
+    let mut bench = Bench::new();
+    for life in ["a", "b", "c"] {
+        bench.add_vm(life, 4_000);
+    }
+    bench.submit(2, vec![step(3, 4_000)]);
+    bench.settle();
+    bench.replace_leader();
+    for life in ["a", "b", "c"] {
+        bench.add_life(&format!("agent-of-{life}"), &format!("{life}-2"), 4_000);
+    }
+    bench.pass(1, &[]);
+    let verdicts = verdicts(&bench);
+    assert!(!verdicts.is_empty() && verdicts.iter().all(|verdict| *verdict == Verdict::Beside));
+    let job = bench.state.job(2).expect("a job");
+    assert!(!job.times[0][0].iter().any(Task::suspect));
+}
