--- a/crates/pond-job/tests/suspects.rs
+++ b/crates/pond-job/tests/suspects.rs
@@ -19,15 +19,14 @@
 mod world;
 
 use std::collections::BTreeMap;
-use std::env;
 use std::ops::Range;
 use std::sync::LazyLock;
-use std::thread;
 
 use pond_job::Blame;
 use pond_proto::job::TaskName;
 use pond_proto::{Millis, Span};
 use rand::Rng;
+use world::cases::outcomes;
 use world::fault::Fault;
 use world::{World, book};
 
@@ -67,9 +66,6 @@
 /// Seeds that CI runs.
 const SEEDS: Range<u64> = 0..40;
 
-/// Cases that run at the same time.
-const THREADS: usize = 4;
-
 /// What came of a seed.
 struct Outcome {
     seed: u64,
@@ -87,21 +83,7 @@
 }
 
 /// All seeds, run once for all tests.
-static OUTCOMES: LazyLock<Vec<Outcome>> = LazyLock::new(|| {
-    let seeds: Vec<u64> = seeds().collect();
-    let share = seeds.len().div_ceil(THREADS).max(1);
-    let parts = seeds.chunks(share).map(<[u64]>::to_vec);
-    let run = |part: Vec<u64>| thread::spawn(|| part.into_iter().map(play).collect::<Vec<_>>());
-    let threads: Vec<_> = parts.map(run).collect();
-    threads.into_iter().flat_map(|thread| thread.join().expect("a case panicked")).collect()
-});
-
-fn seeds() -> Range<u64> {
-    let Ok(text) = env::var("SUSPECT_SEEDS") else { return SEEDS };
-    let (first, end) = text.split_once("..").expect("SUSPECT_SEEDS is FIRST..END");
-    let number = |text: &str| text.parse().expect("SUSPECT_SEEDS is FIRST..END");
-    number(first)..number(end)
-}
+static OUTCOMES: LazyLock<Vec<Outcome>> = LazyLock::new(|| outcomes("SUSPECT_SEEDS", SEEDS, play));
 
 /// Whether workers of a case go down under tasks only.
 fn is_sturdy(seed: u64) -> bool {
--- a/crates/pond-job/tests/world/mod.rs
+++ b/crates/pond-job/tests/world/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub mod book;
+pub mod cases;
 pub mod fault;
 pub mod machine;
 pub mod watch;
