Nobody joins what is likely the cause of several losses

Change: a worker that is given such a suspect takes no others. The test failed (both began there), passes.

--- a/crates/pond-job/src/lead/suspect.rs
+++ b/crates/pond-job/src/lead/suspect.rs
@@ -100,6 +100,10 @@
                 let name = group.task(index);
                 candidates[found].take(name, group.step, group.image, group.served, &self.harm);
                 candidates[found].take_suspect(group.id);
+                if suspect.is_some_and(|suspect| suspect.suspicion.likely > 1) {
+                    // Nobody joins what is likely the cause of several losses.
+                    candidates[found].suspects = TOGETHER;
+                }
                 let run = RunName { task: name, number: task.run + 1 };
                 starts.push(candidates[found].start(run));
             }
--- a/crates/pond-job/tests/suspicion.rs
+++ b/crates/pond-job/tests/suspicion.rs
@@ -227,3 +227,25 @@
     let job = bench.state.job(2).expect("a job");
     assert!(!job.times[0][0].iter().any(Task::suspect));
 }
+
+/// Seen in the soak: a bystander of one loss joined what was likely the cause of two, again and again, until it was
+/// given up for five losses.
+#[test]
+fn nobody_joins_what_is_likely_the_cause_of_several_losses() {
+    let mut bench = Bench::new();
+    for id in [1, 2] {
+        bench.submit(id, vec![step(1, 1_000)]);
+    }
+    for (id, number) in [(1, 1), (1, 2), (2, 1)] {
+        let run = RunName { task: task(id, 0, 0), number };
+        let (worker, agent) = (format!("former-{id}-{number}"), "agent".to_owned());
+        bench.apply(Change::Start(vec![Start { run, worker: worker.clone(), agent }]));
+        let blame = vec![Blame { run, verdict: Verdict::Suspected, lived_ms: 0 }];
+        bench.apply(Change::WorkerLost { worker, saves: vec![], over: true, blame });
+    }
+    bench.pass(2, &[]);
+    bench.add_vm("a", 8_000);
+    bench.settle();
+    let started: Vec<u64> = bench.started("a").iter().map(|run| run.task.job).collect();
+    assert_eq!(started, [1]);
+}
