--- a/crates/pond-job/tests/crashes.rs
+++ b/crates/pond-job/tests/crashes.rs
@@ -75,3 +75,27 @@
     assert!(pool.crashes > 0 && suspect(2, 0));
     assert!(!suspect(1, 0) && !suspect(1, 1));
 }
+
+/// Seen: everything was killed, workers came back at once and one after the other, and one task took down ten of
+/// their lives within two seconds. Cause: while other workers go down by themselves, a loss counted as one that
+/// the task had only stood beside, however often it had just begun there.
+#[test]
+fn task_is_given_up_though_other_workers_go_down_by_themselves() {
+    let mut pool = Pool::new(6).with_back_ms(100);
+    let one_each = Step { lasting: true, most_per_worker: 1, ..step(6, 1_000) };
+    pool.bench.submit(1, vec![one_each]);
+    pool.pass(3_000);
+    pool.kill_all();
+    with_others(&mut pool, 10);
+    for _ in 0..25 {
+        pool.crash_with_agent(4);
+        pool.crash_with_agent(5);
+        pool.pass(400);
+    }
+    let starts = pool.starts[&task(10, 0, 0)];
+    assert!(starts <= MOST_STARTS, "{starts} starts, {} crashes", pool.crashes);
+    assert_eq!(pool.bench.phase(10), Some(Phase::Failed));
+    for id in 11..16 {
+        assert_eq!(pool.bench.phase(id), Some(Phase::Completed), "job {id}");
+    }
+}
--- a/crates/pond-job/tests/support/crashing.rs
+++ b/crates/pond-job/tests/support/crashing.rs
@@ -12,7 +12,8 @@
 /// Time passes in steps of this, in milliseconds.
 const STEP_MS: Span = 100;
 
-/// A worker that is down is back as another life after this time, in milliseconds.
+/// A worker that is down is back as another life after this time, in milliseconds, unless a test says
+/// otherwise.
 const BACK_MS: Span = 3_000;
 
 /// Time between reports, in milliseconds.
@@ -26,8 +27,10 @@
     lives: u32,
     /// Since when each of its runs is there.
     runs: BTreeMap<RunName, Millis>,
-    /// When it is back, while it is down.
-    back: Option<Millis>,
+    /// Since when it is down, and when it is back.
+    down: Option<(Millis, Millis)>,
+    /// Its agent went down with it and has nothing to tell of its former life.
+    forgetful: bool,
 }
 
 impl Machine {
@@ -45,19 +48,27 @@
     pub starts: BTreeMap<TaskName, u32>,
     /// Workers that went down, by whatever cause.
     pub crashes: u32,
+    back_ms: Span,
 }
 
 impl Pool {
     /// A pool of idle machines with 32 processors each.
     pub fn new(machines: usize) -> Pool {
         let mut bench = Bench::new();
-        let new = || Machine { lives: 1, runs: BTreeMap::new(), back: None };
+        let new =
+            || Machine { lives: 1, runs: BTreeMap::new(), down: None, forgetful: false };
         let machines: Vec<Machine> = (0..machines).map(|_| new()).collect();
         for (place, machine) in machines.iter().enumerate() {
             bench.add_life(&agent(place), &machine.life(place), 32_000);
         }
         let (culprits, starts) = (BTreeSet::new(), BTreeMap::new());
-        Pool { bench, machines, culprits, starts, crashes: 0 }
+        Pool { bench, machines, culprits, starts, crashes: 0, back_ms: BACK_MS }
+    }
+
+    /// Workers that are down are back after this time, in milliseconds.
+    pub fn with_back_ms(mut self, back_ms: Span) -> Pool {
+        self.back_ms = back_ms;
+        self
     }
 
     /// Time passes.
@@ -73,13 +84,13 @@
 
     fn step(&mut self, place: usize) {
         let now = self.bench.now;
-        match self.machines[place].back {
-            Some(back) if now < back => return,
+        match self.machines[place].down {
+            Some((_, back)) if now < back => return,
             Some(_) => self.boot(place),
             None => {}
         }
         self.begin(place);
-        if self.machines[place].back.is_none() && now.0.is_multiple_of(REPORT_MS) {
+        if self.machines[place].down.is_none() && now.0.is_multiple_of(REPORT_MS) {
             self.report(place);
         }
     }
@@ -106,7 +117,7 @@
     /// The worker goes down with all that runs there.
     pub fn crash(&mut self, place: usize) {
         self.crashes += 1;
-        self.machines[place].back = Some(self.bench.now + BACK_MS);
+        self.machines[place].down = Some((self.bench.now, self.bench.now + self.back_ms));
     }
 
     /// Every worker loses power.
@@ -114,15 +125,29 @@
         (0..self.machines.len()).for_each(|place| self.crash(place));
     }
 
+    /// Everything is killed: workers, their agents and the leader.
+    pub fn kill_all(&mut self) {
+        (0..self.machines.len()).for_each(|place| self.crash_with_agent(place));
+        self.replace_leader();
+    }
+
+    /// The worker goes down together with its agent, which has nothing to tell of it afterwards.
+    pub fn crash_with_agent(&mut self, place: usize) {
+        self.crash(place);
+        self.machines[place].forgetful = true;
+    }
+
     /// The worker is back as another life, and its agent tells what became of the one before.
     fn boot(&mut self, place: usize) {
         let (now, former) = (self.bench.now, self.machines[place].life(place));
         let link = self.bench.vms[&former].link;
         let runs = self.rows(place);
-        let gone = Report { worker: former, gone: true, runs, ..Report::default() };
-        self.bench.leader.report(&self.bench.state, now, link, &agent(place), gone);
+        if !std::mem::take(&mut self.machines[place].forgetful) {
+            let gone = Report { worker: former, gone: true, runs, ..Report::default() };
+            self.bench.leader.report(&self.bench.state, now, link, &agent(place), gone);
+        }
         let machine = &mut self.machines[place];
-        machine.back = None;
+        machine.down = None;
         machine.lives += 1;
         machine.runs.clear();
         let life = machine.life(place);
@@ -131,8 +156,7 @@
 
     fn rows(&self, place: usize) -> Vec<RunRow> {
         let machine = &self.machines[place];
-        let down = machine.back.map(|back| Millis(back.0 - BACK_MS));
-        let alive = down.unwrap_or(self.bench.now);
+        let alive = machine.down.map_or(self.bench.now, |(since, _)| since);
         let row = |(run, began): (&RunName, &Millis)| {
             let lived_ms = alive.since(*began) as u32;
             RunRow { run: *run, percent: 10, lived_ms, met: true, ..RunRow::default() }
@@ -166,7 +190,7 @@
         self.bench.state = State::decode(&bytes).expect("what was written down can be read");
         self.bench.replace_leader();
         for place in 0..self.machines.len() {
-            if self.machines[place].back.is_none() {
+            if self.machines[place].down.is_none() {
                 self.report(place);
             }
         }
