Losses of a repeated suspect count whatever else goes down

Cause: while two other workers had been lost within 2 s for no known reason, every loss counted as one that the task had only stood beside; after the death of everything that lasts for seconds, as workers come back one after the other. Ruled out: to prove anything from such losses (others may go down by themselves). Change: a run that has just begun, of a task that was beside two losses before and so began apart, counts as likely the cause of the third and later ones. Five losses with three likely ones fail its job, as before.

--- a/crates/pond-job/src/lead/blame.rs
+++ b/crates/pond-job/src/lead/blame.rs
@@ -20,6 +20,11 @@
 /// So many others that are lost within that time show such a cause.
 const TOGETHER: usize = 2;
 
+/// A run counts as likely the cause whatever else goes down if its task was beside so many losses before: a
+/// suspect began apart, so what goes down elsewhere has little to do with it. (Where two of six workers go down by
+/// themselves every 0.4 s, a task that takes down its workers is started five times instead of eight.)
+const REPEATED: u32 = 2;
+
 /// When workers were lost, as this leader knows it.
 #[derive(Debug, Default)]
 pub(super) struct Losses {
@@ -55,6 +60,8 @@
     together: bool,
     /// Those that likely did.
     likely: BTreeSet<RunName>,
+    /// Those of them whose tasks had been beside several losses before.
+    repeated: BTreeSet<RunName>,
 }
 
 impl Case<'_> {
@@ -66,12 +73,17 @@
         self.why == Lost::Crashed && jobs.len() == 1 && met && !self.together
     }
 
+    /// Whether a run was lost as its task's earlier runs were: each time just begun, on a worker that crashed.
+    fn repeats(&self, run: RunName) -> bool {
+        self.why == Lost::Crashed && self.repeated.contains(&run)
+    }
+
     /// How the loss counts against a run that had begun just before, or not; none if it does not.
     fn verdict(&self, run: RunName, begun: bool) -> Option<Verdict> {
         let by_itself = !self.together && self.why == Lost::Crashed;
         match self.likely.contains(&run) {
             true if self.proves() => Some(Verdict::Proven),
-            true if by_itself => Some(Verdict::Suspected),
+            true if by_itself || self.repeats(run) => Some(Verdict::Suspected),
             // Workers that go down together, or fall silent, say little about what ran there, and nothing
             // about what had worked well.
             _ => (begun || by_itself).then_some(Verdict::Beside),
@@ -140,8 +152,11 @@
         let likely = |(last, lived_ms): &&(&Last, Span)| {
             (last.told || alone) && just_begun(state, last.run, *lived_ms)
         };
-        let likely = there.iter().filter(likely).map(|(last, _)| last.run).collect();
-        Case { why, there, together, likely }
+        let likely: BTreeSet<RunName> =
+            there.iter().filter(likely).map(|(last, _)| last.run).collect();
+        let losses = |run: &RunName| state.suspicion(*run).map_or(0, |before| before.losses);
+        let repeated = likely.iter().filter(|run| losses(run) >= REPEATED).copied().collect();
+        Case { why, there, together, likely, repeated }
     }
 
     /// Proposes to clear tasks whose runs have lived on for long enough.
