Evacuated data centres: nothing more is started there

Ruled out: a number of its own for each order: calls carry neither a number nor a name (headers logged in a trial), so only the order in the log tells which is newer; each order goes into the log, also one that repeats what is in force, and one whose operator has left is dropped unproposed. Change: Evacuate and Readmit in the replicated state; the leader starts nothing there, takes back what was given and has not begun (gangs whole), orders no start there, and explains it as an obstacle of its own; agents that have just started are waited for. What runs goes on, lasting runs stay: a move costs the work since the last save and takes a lasting task away. GET /evacuations lists them; unknown names get 404, a body or an empty name 400, other methods 405. Events 414 to 418 with who asked, gauge evacuated_data_centres.

--- a/crates/pond-http/src/call.rs
+++ b/crates/pond-http/src/call.rs
@@ -1,5 +1,7 @@
 //! Requests and answers with their whole bodies.
 
+use std::net::SocketAddr;
+
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
 
@@ -14,12 +16,20 @@
     pub headers: HeaderMap,
     /// The whole body.
     pub body: Bytes,
+    /// Who sent it, where a server knows it.
+    pub peer: Option<SocketAddr>,
 }
 
 impl Call {
     /// A request without headers.
     pub fn new(method: Method, path: &str, body: impl Into<Bytes>) -> Call {
-        Call { method, path: path.to_owned(), headers: HeaderMap::new(), body: body.into() }
+        Call {
+            method,
+            path: path.to_owned(),
+            headers: HeaderMap::new(),
+            body: body.into(),
+            peer: None,
+        }
     }
 
     /// Says that the body is JSON.
--- a/crates/pond-http/src/lib.rs
+++ b/crates/pond-http/src/lib.rs
@@ -15,7 +15,7 @@
 pub use call::{Call, Reply};
 pub use client::Client;
 pub use error::Error;
-pub use http::header::{CONTENT_TYPE, LOCATION, RETRY_AFTER};
+pub use http::header::{ALLOW, CONTENT_TYPE, LOCATION, RETRY_AFTER};
 pub use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 pub use json::{get_json, post_json};
 pub use server::{Handler, Limits, Refused, Stop, serve};
--- a/crates/pond-http/src/server.rs
+++ b/crates/pond-http/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -175,10 +176,12 @@
     handler: Arc<dyn Handler>,
 ) {
     let _ = stream.set_nodelay(true);
+    // A peer that is gone already has no address any more.
+    let peer = stream.peer_addr().ok();
     let service = service_fn(move |request| {
         let (handler, closing) = (handler.clone(), closing.clone());
         async move {
-            let mut response = answer(request, limits, handler.as_ref()).await;
+            let mut response = answer(request, peer, limits, handler.as_ref()).await;
             if closing.load(Ordering::Relaxed) {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
@@ -208,6 +211,7 @@
 
 async fn answer(
     request: Request<Incoming>,
+    peer: Option<SocketAddr>,
     limits: Limits,
     handler: &dyn Handler,
 ) -> Response<Full<Bytes>> {
@@ -215,7 +219,7 @@
     let reply = match read_body(body, limits).await {
         Ok(body) => {
             let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
-            let call = Call { method: parts.method, path, headers: parts.headers, body };
+            let call = Call { method: parts.method, path, headers: parts.headers, body, peer };
             handler.handle(call).await
         }
         Err(refused) => handler.refuse(refused),
--- a/crates/pond-job/src/change.rs
+++ b/crates/pond-job/src/change.rs
@@ -63,6 +63,18 @@
     Learned(Lesson),
     /// Workers have lived on with these runs for long enough to clear their tasks.
     Cleared(Vec<RunName>),
+    /// Nothing more is started in a data centre.
+    Evacuate {
+        /// The data centre.
+        data_centre: String,
+        /// When the leader took the order in, on its operators' clock.
+        at: Millis,
+    },
+    /// Work is started in an evacuated data centre again.
+    Readmit {
+        /// The data centre.
+        data_centre: String,
+    },
 }
 
 /// A run for a worker.
@@ -119,6 +131,8 @@
             Change::Forget(_) => "forget",
             Change::Learned(_) => "learned",
             Change::Cleared(_) => "cleared",
+            Change::Evacuate { .. } => "evacuate",
+            Change::Readmit { .. } => "readmit",
         }
     }
 
--- a/crates/pond-job/src/lead/board.rs
+++ b/crates/pond-job/src/lead/board.rs
@@ -75,6 +75,7 @@
     harm: &mut Harm,
 ) -> Candidate {
     let mut made = Candidate::new(life, worker);
+    made.evacuated = state.is_evacuated(&worker.data_centre);
     for run in state.placed(life) {
         let Some(job) = state.job(run.task.job) else { continue };
         let Some(step) = job.step(run.task) else { continue };
--- a/crates/pond-job/src/lead/candidate.rs
+++ b/crates/pond-job/src/lead/candidate.rs
@@ -72,6 +72,8 @@
     pub tried: usize,
     /// It gets nothing at all.
     pub resting: bool,
+    /// Nothing is started in its data centre.
+    pub evacuated: bool,
     /// Suspects that it has, which no run has cleared.
     pub suspects: usize,
     /// The job of the suspects that a plan gave it first.
@@ -109,6 +111,7 @@
             more: usize::MAX,
             tried: 0,
             resting: false,
+            evacuated: false,
             suspects: 0,
             suspects_of: None,
             closed: false,
@@ -247,8 +250,10 @@
     /// What keeps a task from running there now, the most lasting reason first; none if nothing but
     /// harm does.
     pub fn obstacle(&self, pool: &str, task: TaskName, step: &Step) -> Option<Obstacle> {
-        if !self.allows(pool, task, step) {
+        if !self.suits_step(pool, task, step, 0) {
             Some(Obstacle::Elsewhere)
+        } else if self.evacuated {
+            Some(Obstacle::Evacuated)
         } else if let Some(unsound) = self.unsound_for(step) {
             Some(unsound)
         } else if !step.size().fits(self.free) {
@@ -288,13 +293,18 @@
         }
     }
 
-    /// Whether a task could ever run there.
+    /// Whether a task may be started there, now or later.
     fn allows(&self, pool: &str, task: TaskName, step: &Step) -> bool {
         self.allows_beside(pool, task, step, 0)
     }
 
-    /// Whether a task could ever run there beside so many more of its step.
+    /// Whether a task may be started there, now or later, beside so many more of its step.
     fn allows_beside(&self, pool: &str, task: TaskName, step: &Step, more: u32) -> bool {
+        !self.evacuated && self.suits_step(pool, task, step, more)
+    }
+
+    /// Whether the worker is of a kind that may run a task, beside so many more of its step.
+    fn suits_step(&self, pool: &str, task: TaskName, step: &Step, more: u32) -> bool {
         let held = || self.steps.get(&task.into()).copied().unwrap_or(0) + more;
         let apart = step.most_per_worker == 0 || held() < step.most_per_worker;
         let labelled = step.required_label.is_empty() || self.labels.contains(&step.required_label);
--- a/crates/pond-job/src/lead/mod.rs
+++ b/crates/pond-job/src/lead/mod.rs
@@ -13,6 +13,7 @@
 mod board;
 mod candidate;
 mod ends;
+mod evacuation;
 mod evict;
 mod harm;
 mod health;
@@ -181,6 +182,7 @@
             self.evict(state, now, &life, &report);
         }
         self.withdraw_misfits(state, &life);
+        self.withdraw_evacuated(state, &life);
         self.propose_ends(state, now, &life, &report);
         self.watch_progress(state, now, &life, &report);
         self.clear_survivors(state, now, &report);
@@ -203,6 +205,13 @@
                     self.begun.insert(start.worker.clone(), now);
                     self.touch(&start.worker);
                     self.withdraw_misfits(state, &start.worker);
+                    self.withdraw_evacuated(state, &start.worker);
+                }
+            }
+            Change::Evacuate { data_centre, .. } | Change::Readmit { data_centre } => {
+                for life in self.lives_in(data_centre) {
+                    self.touch(&life);
+                    self.withdraw_evacuated(state, &life);
                 }
             }
             Change::Ended { worker, ends, .. } => {
--- a/crates/pond-job/src/lead/obstacle.rs
+++ b/crates/pond-job/src/lead/obstacle.rs
@@ -7,6 +7,8 @@
 pub enum Obstacle {
     /// Another pool, a missing label, or too many tasks of the step there.
     Elsewhere,
+    /// Its data centre is evacuated.
+    Evacuated,
     /// A task that may take down its worker has begun there, or the worker is kept for one.
     Suspect,
     /// The worker rests after failures.
--- a/crates/pond-job/src/lead/order.rs
+++ b/crates/pond-job/src/lead/order.rs
@@ -103,13 +103,17 @@
         let watches = self.watches(state, now, life);
         let worker = self.workers.get_mut(life)?;
         let link = worker.link?;
+        let starts = match state.is_evacuated(&worker.data_centre) {
+            true => Vec::new(),
+            false => starts(state, now, life, worker, &wanted, &watches, &self.adviser),
+        };
         let order = Order {
             worker: life.to_owned(),
             term: self.term,
             lease_end_ms: worker.clock_ms + self.terms.hold_ms,
             settled: state.settled(life),
             forget: std::mem::take(&mut worker.forget).into_iter().collect(),
-            starts: starts(state, now, life, worker, &wanted, &watches, &self.adviser),
+            starts,
             stops: stops(now, worker, &wanted),
             watches: fresh_watches(worker, &wanted, watches),
         };
--- a/crates/pond-job/src/lead/suspect.rs
+++ b/crates/pond-job/src/lead/suspect.rs
@@ -220,7 +220,7 @@
 /// How many more workers of each pool may be given to suspects.
 fn free_places(candidates: &[Candidate]) -> BTreeMap<String, usize> {
     let mut pools: BTreeMap<String, (usize, usize)> = BTreeMap::new();
-    for candidate in candidates {
+    for candidate in candidates.iter().filter(|candidate| !candidate.evacuated) {
         let (all, closed) = pools.entry(candidate.pool.clone()).or_default();
         *all += 1;
         *closed += usize::from(candidate.closed());
--- a/crates/pond-job/src/lead/worker.rs
+++ b/crates/pond-job/src/lead/worker.rs
@@ -43,6 +43,8 @@
     pub room: Size,
     /// Its labels.
     pub labels: BTreeSet<String>,
+    /// Its data centre.
+    pub data_centre: String,
     /// It will leave and gets nothing more.
     pub draining: bool,
     /// It answers its agent.
@@ -78,6 +80,7 @@
             pool: String::new(),
             room: Size::default(),
             labels: BTreeSet::new(),
+            data_centre: String::new(),
             draining: false,
             answers: false,
             rows: BTreeMap::new(),
@@ -107,6 +110,7 @@
         self.pool = report.pool.clone();
         self.room = Size::new(report.milli_cpu, report.memory_mib, report.accelerators);
         self.labels = report.labels.iter().cloned().collect();
+        self.data_centre = report.data_centre.clone();
         self.draining = report.draining;
         self.answers = report.answers;
         let rows: BTreeMap<RunName, RunRow> =
--- a/crates/pond-job/src/state/mod.rs
+++ b/crates/pond-job/src/state/mod.rs
@@ -1,5 +1,6 @@
 //! The replicated state: the same changes in the same order give the same state everywhere.
 
+mod evacuation;
 mod runs;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -34,6 +35,9 @@
     /// What former leaders learned of harm. (Snapshots of earlier versions have none.)
     #[serde(default)]
     lesson: Lesson,
+    /// The data centres in which nothing is started, and since when. (Snapshots of earlier versions have none.)
+    #[serde(default)]
+    evacuated: BTreeMap<String, Millis>,
 }
 
 impl State {
@@ -155,6 +159,8 @@
                 self.lose(&worker, saves, over)
             }
             Change::Cleared(runs) => self.clear(&runs),
+            Change::Evacuate { data_centre, at } => self.evacuate(data_centre, at),
+            Change::Readmit { data_centre } => self.readmit(&data_centre),
             Change::Forget(ids) => self.forget(&ids),
             Change::Learned(lesson) => {
                 self.lesson = lesson;
--- a/crates/pond-job/tests/support/crashing.rs
+++ b/crates/pond-job/tests/support/crashing.rs
@@ -55,8 +55,7 @@
     /// A pool of idle machines with 32 processors each.
     pub fn new(machines: usize) -> Pool {
         let mut bench = Bench::new();
-        let new =
-            || Machine { lives: 1, runs: BTreeMap::new(), down: None, forgetful: false };
+        let new = || Machine { lives: 1, runs: BTreeMap::new(), down: None, forgetful: false };
         let machines: Vec<Machine> = (0..machines).map(|_| new()).collect();
         for (place, machine) in machines.iter().enumerate() {
             bench.add_life(&agent(place), &machine.life(place), 32_000);
--- a/crates/pond-job/tests/support/mod.rs
+++ b/crates/pond-job/tests/support/mod.rs
@@ -75,6 +75,7 @@
     pub clock_ms: u64,
     pub room: u32,
     pub labels: Vec<String>,
+    pub data_centre: String,
     pub draining: bool,
     pub answers: bool,
     pub runs: BTreeMap<RunName, RunRow>,
@@ -114,6 +115,14 @@
         self.add_life(&format!("agent-of-{life}"), life, room);
     }
 
+    /// Adds a worker in a data centre.
+    pub fn with_vm_in(mut self, data_centre: &str, life: &str, room: u32) -> Bench {
+        self.add_vm(life, room);
+        self.vms.get_mut(life).expect("a worker").data_centre = data_centre.to_owned();
+        self.report(life);
+        self
+    }
+
     /// Adds a life of the worker beside an agent.
     pub fn add_life(&mut self, agent: &str, life: &str, room: u32) {
         let vm = Vm {
@@ -122,6 +131,7 @@
             clock_ms: 5_000,
             room,
             labels: Vec::new(),
+            data_centre: String::new(),
             draining: false,
             answers: true,
             runs: BTreeMap::new(),
@@ -160,6 +170,16 @@
         self.apply(Change::Cancel { host, path, id })
     }
 
+    pub fn evacuate(&mut self, data_centre: &str) {
+        let (data_centre, at) = (data_centre.to_owned(), self.now);
+        assert_eq!(self.apply(Change::Evacuate { data_centre, at }), Reply::Accepted);
+    }
+
+    pub fn readmit(&mut self, data_centre: &str) {
+        let data_centre = data_centre.to_owned();
+        assert_eq!(self.apply(Change::Readmit { data_centre }), Reply::Accepted);
+    }
+
     pub fn apply(&mut self, change: Change) -> Reply {
         let reply = self.state.apply(change.clone());
         self.leader.applied(&self.state, self.now, &change, &reply);
@@ -181,6 +201,7 @@
             milli_cpu: vm.room,
             memory_mib: 100_000,
             labels: vm.labels.clone(),
+            data_centre: vm.data_centre.clone(),
             draining: vm.draining,
             clock_ms: vm.clock_ms,
             answers: vm.answers,
--- a/crates/pond-job/tests/world/machine.rs
+++ b/crates/pond-job/tests/world/machine.rs
@@ -26,6 +26,7 @@
     pub name: String,
     pub room: Size,
     pub labels: Vec<String>,
+    pub data_centre: &'static str,
     /// None while it is down.
     pub worker: Option<Worker>,
     /// How fast the clock of its worker goes, in thousandths.
@@ -55,6 +56,7 @@
             name,
             room,
             labels,
+            data_centre: "",
             worker: None,
             clock_permille,
             lives: 0,
@@ -152,6 +154,7 @@
             life: worker.life.clone(),
             address: self.name.clone(),
             pool: "vms".to_owned(),
+            data_centre: self.data_centre.to_owned(),
             room: worker.room,
             labels: worker.labels.clone(),
             clock_ms: worker.clock_ms(now),
--- a/crates/pond-job/tests/world/mod.rs
+++ b/crates/pond-job/tests/world/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod book;
 pub mod cases;
+pub mod evacuation;
 pub mod fault;
 pub mod machine;
 pub mod watch;
@@ -19,6 +20,7 @@
 
 use crate::support::{ADVISED, BATCH, HOST, PATH, configuration, terms};
 use book::{Book, RACKS, SPECIAL, Work};
+use evacuation::{DATA_CENTRES, Evacuations};
 use fault::Fault;
 use machine::Machine;
 use watch::Watch;
@@ -77,6 +79,7 @@
     /// What the leaders decided.
     pub diary: Vec<(Millis, Decision)>,
     pub watch: Watch,
+    pub evacuations: Evacuations,
 }
 
 impl World {
@@ -111,6 +114,7 @@
             sturdy: false,
             diary: Vec::new(),
             watch: Watch::default(),
+            evacuations: Evacuations::default(),
         };
         world.machines.iter_mut().for_each(|machine| machine.boot(START));
         world.serve(processors);
@@ -134,6 +138,7 @@
         self.mend();
         self.commit();
         self.take_lead();
+        self.operate();
         self.advise();
         let whole = self.whole_gangs();
         for i in 0..self.machines.len() {
@@ -226,6 +231,7 @@
         let open: BTreeSet<u64> = open.map(|(id, _)| id).collect();
         let reply = self.state.apply(change.clone());
         self.note_given_up(&change, &open);
+        self.acknowledge(&change);
         if let Some(leader) = &mut self.leader {
             leader.applied(&self.state, self.now, &change, &reply);
         }
@@ -355,5 +361,7 @@
     if i < 2 || rng.random_bool(0.3) {
         labels.push(SPECIAL.to_owned());
     }
-    Machine::new(format!("m{i:02}"), room, labels, rng.random_range(980..=1_000))
+    let mut machine = Machine::new(format!("m{i:02}"), room, labels, rng.random_range(980..=1_000));
+    machine.data_centre = DATA_CENTRES[i % DATA_CENTRES.len()];
+    machine
 }
--- a/crates/pond-job/tests/world/watch.rs
+++ b/crates/pond-job/tests/world/watch.rs
@@ -27,7 +27,8 @@
 const PLENTY_PERCENT: u32 = 40;
 
 /// What may be in the way on workers on which a task may run.
-const OBSTACLES: [Obstacle; 7] = [
+const OBSTACLES: [Obstacle; 8] = [
+    Obstacle::Evacuated,
     Obstacle::Resting,
     Obstacle::Probed,
     Obstacle::NoRoom,
@@ -105,13 +106,21 @@
                 ran.push(name.task);
             }
         }
-        for worker in self.machines.iter_mut().filter_map(|machine| machine.worker.as_mut()) {
+        let closed: Vec<bool> =
+            (0..self.machines.len()).map(|i| self.closed_to_starts(i)).collect();
+        let workers = self.machines.iter_mut().zip(closed);
+        let workers =
+            workers.filter_map(|(machine, closed)| Some((machine.worker.as_mut()?, closed)));
+        for (worker, closed) in workers {
             if !worker.taken().fits(worker.room) {
                 broken.push(format!("{} has {} of {}", worker.life, worker.taken(), worker.room));
             }
             for name in std::mem::take(&mut worker.begun) {
                 let placed = self.state.placed(&worker.life).any(|run| run == name);
                 let done = self.watch.done.get(&name);
+                if closed {
+                    broken.push(format!("{name} began on {}, which is evacuated", worker.life));
+                }
                 if !placed {
                     broken.push(format!("{name} began on {}, where it has no place", worker.life));
                 } else if done.is_some_and(|at| self.now.since(*at) > ON_WAY_MS) {
@@ -119,6 +128,8 @@
                 }
             }
         }
+        let forgotten = self.forgotten().into_iter();
+        broken.extend(forgotten.map(|name| format!("what was acknowledged of {name} is gone")));
         let now = self.now;
         for name in self.placed_and_done() {
             self.watch.done.entry(name).or_insert(now);
--- a/crates/pond-log/src/events.rs
+++ b/crates/pond-log/src/events.rs
@@ -121,6 +121,15 @@
         "mend what the reason names and send it again";
     NO_LEADER = 413, Warning, "an operator is told that nobody is known to lead now",
         "nothing if it goes on after an election; else look at the control replicas";
+    EVACUATED = 414, Info, "a data centre is evacuated; nothing more is started there",
+        "take it back once the data centre is well";
+    READMITTED = 415, Info, "an evacuated data centre takes work again", "nothing";
+    EVACUATION_ORDERED = 416, Info, "an operator orders an evacuation, or its end",
+        "414 or 415 follows once it is in force; 417 or 413 tell why not";
+    EVACUATION_DROPPED = 417, Info, "an order about a data centre whose operator has left is dropped",
+        "nothing: operators send an order again until it is answered";
+    EVACUATION_REFUSED = 418, Warning, "an order about a data centre was refused",
+        "mend what the reason names and send it again";
     VIEW_IN_FORCE = 500, Debug, "a configuration is in force", "nothing";
     VIEW_GAP = 501, Info, "a step of the configuration was missing; all of it is asked for",
         "nothing";
--- a/crates/pond-replica/src/audit.rs
+++ b/crates/pond-replica/src/audit.rs
@@ -42,6 +42,7 @@
                 event!(self.log, JOB_WAITS, "job" => format!("{job:016x}"), "step" => step,
                     "tasks" => tasks, "placed" => placed, "since_ms" => since_ms, "still_ms" => still_ms, "image" => image,
                     "elsewhere" => count(Obstacle::Elsewhere),
+                    "evacuated" => count(Obstacle::Evacuated),
                     "suspect" => count(Obstacle::Suspect),
                     "resting" => count(Obstacle::Resting),
                     "probed" => count(Obstacle::Probed), "no_room" => count(Obstacle::NoRoom),
@@ -83,6 +84,14 @@
             }
             Change::Start(_) => self.log_starts(change.started(reply)),
             Change::Ended { .. } | Change::Forget(_) | Change::Learned(_) => {}
+            Change::Evacuate { data_centre, at } => {
+                event!(self.log, EVACUATED, "data_centre" => data_centre.clone(),
+                    "at_ms" => at.0, "index" => self.applied, "evacuated" => self.evacuated());
+            }
+            Change::Readmit { data_centre } => {
+                event!(self.log, READMITTED, "data_centre" => data_centre.clone(),
+                    "index" => self.applied, "evacuated" => self.evacuated());
+            }
             Change::WorkerLost { worker, blame, .. } => self.log_blame(worker, blame, reply),
             Change::Cleared(runs) => {
                 for run in runs {
@@ -95,6 +104,12 @@
         }
     }
 
+    /// The evacuated data centres, in one text.
+    fn evacuated(&self) -> String {
+        let names: Vec<&str> = self.state.evacuations().map(|(name, _)| name).collect();
+        names.join(" ")
+    }
+
     /// Logs which tasks may have taken down a worker, and which are given up for it.
     fn log_blame(&self, worker: &str, blame: &[Blame], reply: &Reply) {
         let failed = |job: u64| match reply {
--- a/crates/pond-replica/src/lib.rs
+++ b/crates/pond-replica/src/lib.rs
@@ -18,5 +18,5 @@
 
 pub use adviser::Adviser;
 pub use formation::{Formation, Replacement};
-pub use handle::{Elsewhere, Handle};
+pub use handle::{Elsewhere, Evacuated, Evacuation, Handle};
 pub use replica::{Replica, Settings};
--- a/crates/pond-replica/src/operators.rs
+++ b/crates/pond-replica/src/operators.rs
@@ -6,7 +6,7 @@
 use pond_proto::{Millis, Span};
 use tokio::sync::oneshot;
 
-use crate::handle::{Elsewhere, Order};
+use crate::handle::{Elsewhere, Evacuation, Order};
 use crate::replica::Replica;
 use crate::waiting::Waiter;
 
@@ -56,18 +56,26 @@
     fn answer_operator(&mut self, now: Millis, order: Order) {
         match order {
             Order::Configure(configuration, reply) => self.configure(now, *configuration, reply),
+            Order::Evacuate(evacuation, reply) => self.evacuate(now, evacuation, reply),
+            Order::Evacuated(reply) => {
+                let evacuated = self.state.evacuations();
+                let evacuated = evacuated.map(|(name, since)| (name.to_owned(), since)).collect();
+                self.tell_certain(now, evacuated, reply);
+            }
             Order::Read(reply) => {
-                let read = if self.certain(now) {
-                    Ok(self.state.configuration().map(|held| held.source.clone()))
-                } else {
-                    Err(self.elsewhere(now))
-                };
-                // The operator may have left.
-                let _ = reply.send(read);
+                let source = self.state.configuration().map(|held| held.source.clone());
+                self.tell_certain(now, source, reply);
             }
         }
     }
 
+    /// Tells an operator something of the state, if this replica is sure that it is the newest.
+    fn tell_certain<T>(&self, now: Millis, what: T, reply: oneshot::Sender<Result<T, Elsewhere>>) {
+        let told = if self.certain(now) { Ok(what) } else { Err(self.elsewhere(now)) };
+        // The operator may have left.
+        let _ = reply.send(told);
+    }
+
     /// Brings a configuration in force, if this replica leads.
     fn configure(
         &mut self,
@@ -88,6 +96,36 @@
         self.propose(now, &Change::Configure(configuration), Waiter::Operator(reply));
     }
 
+    /// Evacuates a data centre or takes that back, if this replica leads.
+    ///
+    /// Orders have no number: which of two is the newer one is told by their order in the log alone. So an order
+    /// also goes into the log when it repeats what is in force, as an opposite one may be on its way there; and
+    /// one whose operator has left is dropped, as it has been sent again elsewhere, and others may have been
+    /// acknowledged since.
+    fn evacuate(
+        &mut self,
+        now: Millis,
+        evacuation: Evacuation,
+        reply: oneshot::Sender<Result<(), Elsewhere>>,
+    ) {
+        let Evacuation { data_centre, begins } = evacuation;
+        if reply.is_closed() {
+            event!(self.log, EVACUATION_DROPPED, "data_centre" => data_centre, "begins" => begins);
+            return;
+        }
+        if !self.certain(now) || self.stopping.is_some() {
+            // The operator may have left.
+            let _ = reply.send(Err(self.elsewhere(now)));
+            return;
+        }
+        let at = self.wall();
+        let change = match begins {
+            true => Change::Evacuate { data_centre, at },
+            false => Change::Readmit { data_centre },
+        };
+        self.propose(now, &change, Waiter::Operator(reply));
+    }
+
     /// Whether another replica surely led a moment ago and can be reached.
     fn names_leader(&self, now: Millis) -> bool {
         self.leader_address(now).is_some()
--- a/crates/pond-replica/src/outputs.rs
+++ b/crates/pond-replica/src/outputs.rs
@@ -174,6 +174,19 @@
         };
         let now = self.now();
         self.metrics.count(&format!("changes{{kind=\"{}\"}}", change.kind()), 1);
+        let evacuates = matches!(change, Change::Evacuate { .. } | Change::Readmit { .. });
+        self.apply_to_state(entry, now, change);
+        if evacuates {
+            self.show_evacuations();
+        }
+    }
+
+    pub(crate) fn show_evacuations(&self) {
+        let count = self.state.evacuations().count();
+        self.metrics.gauge("evacuated_data_centres", count as u64);
+    }
+
+    fn apply_to_state(&mut self, entry: &Entry, now: Millis, change: Change) {
         if self.leader.is_none() {
             let reply = self.state.apply(change);
             self.tell_waiter(entry, &reply);
@@ -224,6 +237,7 @@
                 event!(self.log, INSTALLED, "index" => image.head.index);
                 self.state = state;
                 self.applied = image.head.index;
+                self.show_evacuations();
             }
             Err(why) => event!(self.log, STATE_DIFFERS, "index" => image.head.index, "why" => why),
         }
--- a/crates/pond-replica/src/replica.rs
+++ b/crates/pond-replica/src/replica.rs
@@ -157,6 +157,7 @@
             requests: request_queue,
             clock,
         };
+        replica.show_evacuations();
         Ok((replica, handle))
     }
 
