Own operators' interface: evacuate a data centre, list and take back

Cause: evacuations existed on the platform's interface alone; the product's own operators could only drain VMs, which moves their work and forgets VMs that come up later. Change: Order::Evacuate in the replicated state with who and since when, kept for VMs listed later; VMs there are closed to new work, and what runs goes on; the scheduler tells it as a reason of its own in explanations; POST and GET /v1/evacuations, 'pondbay evacuate NAME [--undo]', 'get evacuations', openapi, commands and contract pages. Requests still go to endpoints that run there (said in the contract). Ruled out: to build it from drains by label: a drain moves what runs, and holds for VMs that match at that moment only. Measured: tests of pond-state, pond-sched, pond-control and pond-command pass (four new, two tables longer).

--- a/crates/pond-command/src/command/get.rs
+++ b/crates/pond-command/src/command/get.rs
@@ -1,11 +1,11 @@
 //! `pondbay get`.
 
-use pond_proto::operator::{TaskRow, UnitRow, VmRow};
+use pond_proto::operator::{EvacuationRow, TaskRow, UnitRow, VmRow};
 
 use crate::table::Table;
 use crate::{Call, Client, Command, Error, Example, Exit, Out, Signature};
 
-/// Lists units, tasks or VMs.
+/// Lists units, tasks, VMs or evacuated data centres.
 pub struct Get;
 
 impl Command for Get {
@@ -14,11 +14,11 @@
     }
 
     fn signature(&self) -> Signature {
-        Signature::new().with_arguments("units|tasks|vms", 1, 1).with_control_flags()
+        Signature::new().with_arguments("units|tasks|vms|evacuations", 1, 1).with_control_flags()
     }
 
     fn description(&self) -> &'static str {
-        "Lists units, tasks or VMs."
+        "Lists units, tasks, VMs or evacuated data centres."
     }
 
     fn examples(&self) -> Vec<Example> {
@@ -53,6 +53,13 @@
                 }
                 vms(&rows)
             }
+            "evacuations" => {
+                let rows: Vec<EvacuationRow> = client.get("/v1/evacuations")?;
+                if call.switch("json") {
+                    return out.json(&rows).map(|()| Exit::WELL);
+                }
+                evacuations(&rows)
+            }
             other => return Err(call.usage(format!("there is no list of '{other}'"))),
         };
         table.lines().iter().try_for_each(|line| out.line(line))?;
@@ -94,15 +101,30 @@
     table
 }
 
+fn evacuations(rows: &[EvacuationRow]) -> Table {
+    let mut table = Table::new(&["data centre", "by", "since ms", "vms", "tasks"]);
+    for row in rows {
+        table.row(vec![
+            row.data_centre.clone(),
+            row.who.clone(),
+            row.since.0.to_string(),
+            row.vms.to_string(),
+            row.tasks.to_string(),
+        ]);
+    }
+    table
+}
+
 fn vms(rows: &[VmRow]) -> Table {
     let mut table = Table::new(&["vm", "liveness", "tasks", "taken", "size", "labels"]);
     for row in rows {
         let labels: Vec<String> =
             row.labels.iter().map(|(key, value)| format!("{key}={value}")).collect();
         let drained = if row.drained { ", drained" } else { "" };
+        let evacuated = if row.evacuated { ", evacuated" } else { "" };
         table.row(vec![
             row.name.clone(),
-            format!("{}{drained}", row.liveness),
+            format!("{}{drained}{evacuated}", row.liveness),
             row.tasks.to_string(),
             row.taken.to_string(),
             row.size.to_string(),
--- a/crates/pond-command/src/command/mod.rs
+++ b/crates/pond-command/src/command/mod.rs
@@ -7,6 +7,7 @@
 mod describe;
 mod docs;
 mod drain;
+mod evacuate;
 mod explain;
 mod get;
 mod help;
@@ -35,6 +36,7 @@
     &explain::Explain,
     &label::Label,
     &drain::Drain,
+    &evacuate::Evacuate,
     &cancel::Cancel,
     &quota::Quota,
     &status::Status,
--- a/crates/pond-command/tests/contracts.rs
+++ b/crates/pond-command/tests/contracts.rs
@@ -86,7 +86,8 @@
     let drain = json!({"origin": origin("c"), "drained": true,
         "selector": {"terms": [{"key": "rack", "operator": "In", "values": ["none"]}]}});
     let nobody = json!({"origin": {"who": "", "request": "d"}, "teams": {}});
-    let table: [(&str, &str, Value, u16, &str); 6] = [
+    let evacuate = json!({"origin": origin("g"), "data_centre": "nowhere", "evacuated": true});
+    let table: [(&str, &str, Value, u16, &str); 7] = [
         (
             "another order under a known identity",
             "/v1/labels",
@@ -103,6 +104,7 @@
         ),
         ("a unit that is not there", "/v1/cancellations", cancel, 404, "no-match"),
         ("VMs that are not there", "/v1/drains", drain, 404, "no-match"),
+        ("a data centre that is not there", "/v1/evacuations", evacuate, 404, "no-match"),
         ("an order of nobody", "/v1/quotas", nobody, 400, "origin"),
         ("no order at all", "/v1/quotas", json!({"teams": 3}), 400, ""),
     ];
--- a/crates/pond-command/tests/local.rs
+++ b/crates/pond-command/tests/local.rs
@@ -255,6 +255,28 @@
     running.installation.stop();
 }
 
+#[test]
+fn an_evacuated_data_centre_gets_nothing_until_it_is_taken_back() {
+    let running = start(&example("found-property-matching.yaml"));
+    running.wait_for("get units", "10/10");
+    let (_, vms) = running.command("get vms --json");
+    let rows: Vec<pond_proto::operator::VmRow> = serde_json::from_str(&vms).expect("a list");
+    let name = rows[0].labels["data-centre"].clone();
+    let (result, printed) = running.command(&format!("evacuate {name}"));
+    assert!(result.is_ok() && printed.contains("evacuated"), "{result:?} {printed}");
+    let (_, list) = running.command("get evacuations");
+    assert!(list.contains(&name), "{list}");
+    let (_, vms) = running.command("get vms");
+    assert!(vms.contains(", evacuated"), "{vms}");
+    let (result, printed) = running.command(&format!("evacuate --undo {name}"));
+    assert!(result.is_ok() && printed.contains("took back"), "{result:?} {printed}");
+    let (_, list) = running.command("get evacuations");
+    assert!(!list.contains(&name), "{list}");
+    let (result, printed) = running.command("evacuate nowhere");
+    assert!(result.is_err() || printed.contains("nowhere"), "{result:?} {printed}");
+    running.installation.stop();
+}
+
 #[test]
 fn no_worker_is_ever_given_more_than_it_has() {
     let running = start(&example("ledgerline.yaml"));
--- a/crates/pond-control/src/operator/api.rs
+++ b/crates/pond-control/src/operator/api.rs
@@ -10,8 +10,8 @@
 use pond_log::Logger;
 use pond_process::Error;
 use pond_proto::operator::{
-    Accepted, ApplyOrder, Audit, CancelOrder, DrainOrder, LabelOrder, Origin, QuotaOrder, Status,
-    TaskRow, UnitRow, UnitShown, VmRow,
+    Accepted, ApplyOrder, Audit, CancelOrder, DrainOrder, EvacuateOrder, EvacuationRow, LabelOrder,
+    Origin, QuotaOrder, Status, TaskRow, UnitRow, UnitShown, VmRow,
 };
 use pond_state::{Order, Target};
 use schemars::JsonSchema;
@@ -105,6 +105,25 @@
     order(context, origin, Order::Drain { selector, drained }).await
 }
 
+/// Place nothing more in a data centre, or use it again.
+#[endpoint { method = POST, path = "/v1/evacuations" }]
+async fn evacuate_data_centre(
+    context: Context,
+    body: TypedBody<EvacuateOrder>,
+) -> Result<HttpResponseOk<Accepted>, HttpError> {
+    let EvacuateOrder { origin, data_centre, evacuated } = body.into_inner();
+    order(context, origin, Order::Evacuate { data_centre, evacuated }).await
+}
+
+/// All evacuated data centres.
+#[endpoint { method = GET, path = "/v1/evacuations" }]
+async fn list_evacuations(
+    context: Context,
+) -> Result<HttpResponseOk<Vec<EvacuationRow>>, HttpError> {
+    authorize(&context)?;
+    context.context().asker.read(show::evacuation_rows).await.map(HttpResponseOk)
+}
+
 /// Cancel units by name or by label.
 #[endpoint { method = POST, path = "/v1/cancellations" }]
 async fn cancel_units(
@@ -213,6 +232,8 @@
     api.register(apply_units).map_err(failed)?;
     api.register(set_labels).map_err(failed)?;
     api.register(drain_vms).map_err(failed)?;
+    api.register(evacuate_data_centre).map_err(failed)?;
+    api.register(list_evacuations).map_err(failed)?;
     api.register(cancel_units).map_err(failed)?;
     api.register(set_quotas).map_err(failed)?;
     api.register(list_units).map_err(failed)?;
--- a/crates/pond-control/src/operator/show.rs
+++ b/crates/pond-control/src/operator/show.rs
@@ -1,7 +1,9 @@
 //! Turns the state into what operators are shown.
 
-use pond_proto::operator::{DecisionRow, ResumeRow, TaskRow, UnitRow, UnitShown, VmRow};
-use pond_state::{Decision, Phase, Standing, State, Task, UnitRecord, VmRecord};
+use pond_proto::operator::{
+    DecisionRow, EvacuationRow, ResumeRow, TaskRow, UnitRow, UnitShown, VmRow,
+};
+use pond_state::{Decision, Evacuation, Phase, Standing, State, Task, UnitRecord, VmRecord};
 
 /// The row of a unit.
 pub fn unit_row(state: &State, record: &UnitRecord) -> UnitRow {
@@ -62,10 +64,28 @@
         taken: record.taken,
         liveness: format!("{:?}", record.liveness).to_lowercase(),
         drained: record.drained,
+        evacuated: record.evacuated,
         tasks: state.tasks_on(record.key).count() as u32,
     }
 }
 
+/// The rows of the evacuated data centres.
+pub fn evacuation_rows(state: &State) -> Vec<EvacuationRow> {
+    let row = |(name, evacuation): (&str, &Evacuation)| {
+        let vms: Vec<&VmRecord> =
+            state.vms().filter(|record| record.vm.data_centre() == name).collect();
+        let tasks = vms.iter().map(|record| state.tasks_on(record.key).count() as u32).sum();
+        EvacuationRow {
+            data_centre: name.to_owned(),
+            who: evacuation.who.clone(),
+            since: evacuation.since,
+            vms: vms.len() as u32,
+            tasks,
+        }
+    };
+    state.evacuations().map(row).collect()
+}
+
 fn decision_row(decision: &Decision) -> DecisionRow {
     DecisionRow {
         at: decision.at,
--- a/crates/pond-proto/src/operator.rs
+++ b/crates/pond-proto/src/operator.rs
@@ -58,6 +58,32 @@
     pub drained: bool,
 }
 
+/// Place nothing more in a data centre, or use it again.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct EvacuateOrder {
+    /// Who, and based on what.
+    pub origin: Origin,
+    /// Which data centre.
+    pub data_centre: String,
+    /// Nothing more, or again.
+    pub evacuated: bool,
+}
+
+/// An evacuated data centre in a list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct EvacuationRow {
+    /// The data centre.
+    pub data_centre: String,
+    /// Who ordered it.
+    pub who: String,
+    /// Since when, milliseconds since 1970.
+    pub since: Millis,
+    /// How many VMs stand there.
+    pub vms: u32,
+    /// How many tasks are on them.
+    pub tasks: u32,
+}
+
 /// Cancel units.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 pub struct CancelOrder {
@@ -144,6 +170,8 @@
     pub liveness: String,
     /// An operator took it out of use.
     pub drained: bool,
+    /// An operator evacuated its data centre.
+    pub evacuated: bool,
     /// How many tasks are on it.
     pub tasks: u32,
 }
--- a/crates/pond-sched/src/candidate.rs
+++ b/crates/pond-sched/src/candidate.rs
@@ -72,7 +72,7 @@
         return Some(Reason::Selector);
     }
     if !Fleet::takes(state, vm, now) {
-        return Some(Reason::Closed);
+        return Some(if vm.evacuated { Reason::Evacuated } else { Reason::Closed });
     }
     if let Some(affinity) = &unit.affinity
         && !given.labels_on(state, vm.key).any(|labels| affinity.matches(labels))
--- a/crates/pond-sched/src/miss.rs
+++ b/crates/pond-sched/src/miss.rs
@@ -9,6 +9,8 @@
     Selector,
     /// The VM takes no new work.
     Closed,
+    /// Its data centre is evacuated.
+    Evacuated,
     /// No unit that the affinity asks for is there.
     Affinity,
     /// A unit that the anti-affinity excludes is there.
@@ -22,7 +24,7 @@
 /// Counts the reasons over all VMs.
 #[derive(Debug, Default)]
 pub struct Misses {
-    counts: [usize; 6],
+    counts: [usize; 7],
     largest: Size,
     largest_free: Size,
 }
@@ -51,8 +53,12 @@
         if matching == 0 {
             return format!("none of {all} VMs matches the selector {}", unit.selector);
         }
-        let open = matching - self.count(Reason::Closed);
+        let evacuated = self.count(Reason::Evacuated);
+        let open = matching - self.count(Reason::Closed) - evacuated;
         let mut text = format!("{matching} of {all} VMs match the selector");
+        if evacuated > 0 {
+            text.push_str(&format!(", {evacuated} of them stand in evacuated data centres"));
+        }
         if open == 0 {
             text.push_str(", none of them takes new work now");
             return text;
--- a/crates/pond-state/src/change.rs
+++ b/crates/pond-state/src/change.rs
@@ -171,6 +171,13 @@
         /// Out of use, or back.
         drained: bool,
     },
+    /// Place nothing more in a data centre, or use it again.
+    Evacuate {
+        /// The data centre.
+        data_centre: String,
+        /// Nothing more, or again.
+        evacuated: bool,
+    },
     /// Cancel units.
     Cancel {
         /// Which units, by name; or none for those that the selector matches.
--- a/crates/pond-state/src/lib.rs
+++ b/crates/pond-state/src/lib.rs
@@ -7,6 +7,7 @@
 mod change;
 mod claims;
 mod decision;
+mod evacuation;
 mod operate;
 mod place;
 mod reply;
@@ -20,6 +21,7 @@
 pub use change::{Change, End, Meta, Order, Target};
 pub use claims::{Claims, Holder, KeptAnswer};
 pub use decision::{Action, Decision};
+pub use evacuation::Evacuation;
 pub use reply::{Decided, Refusal, Reply};
 pub use state::State;
 pub use task::{Phase, Task};
--- a/crates/pond-state/src/operate.rs
+++ b/crates/pond-state/src/operate.rs
@@ -15,12 +15,19 @@
 const CONFLICT_RECORDS: usize = 10;
 
 /// What an order changed.
-struct Effect {
+pub(crate) struct Effect {
     what: String,
     tasks: Vec<TaskKey>,
     units: Vec<UnitName>,
 }
 
+impl Effect {
+    /// A change that concerns no task and no unit by itself.
+    pub fn new(what: String) -> Effect {
+        Effect { what, tasks: Vec::new(), units: Vec::new() }
+    }
+}
+
 impl State {
     pub(crate) fn order(&mut self, meta: Meta, order: Order) -> Reply {
         if let Some(reply) = self.trail.known(&meta, &order) {
@@ -28,7 +35,7 @@
         }
         let reply = match self.check_version(&meta) {
             Some(refusal) => Reply::Refused(refusal),
-            None => match self.carry_out(&order) {
+            None => match self.carry_out(&meta, &order) {
                 Ok(effect) => self.accept(&meta, effect),
                 Err(refusal) => Reply::Refused(refusal),
             },
@@ -55,7 +62,7 @@
         Reply::Accepted { version, what }
     }
 
-    fn carry_out(&mut self, order: &Order) -> Result<Effect, Refusal> {
+    fn carry_out(&mut self, meta: &Meta, order: &Order) -> Result<Effect, Refusal> {
         match order {
             Order::Apply { units } => Ok(self.apply_units(units)),
             Order::Label { target: Target::Vms, selector, set, unset } => {
@@ -65,6 +72,9 @@
                 self.label_units(selector, set, unset)
             }
             Order::Drain { selector, drained } => self.drain(selector, *drained),
+            Order::Evacuate { data_centre, evacuated } => {
+                self.evacuate(meta, data_centre, *evacuated)
+            }
             Order::Cancel { names, selector } => self.cancel(names, selector.as_ref()),
             Order::Quota { teams } => Ok(self.set_quotas(teams)),
         }
@@ -128,7 +138,7 @@
         }
         self.room += 1;
         let what = format!("labelled VMs {}: {}", names.join(", "), show_labels(set, unset));
-        Ok(Effect { what, tasks: Vec::new(), units: Vec::new() })
+        Ok(Effect::new(what))
     }
 
     fn label_units(
--- a/crates/pond-state/src/state.rs
+++ b/crates/pond-state/src/state.rs
@@ -7,6 +7,7 @@
 
 use crate::change::Change;
 use crate::claims::Claims;
+use crate::evacuation::Evacuation;
 use crate::reply::Reply;
 use crate::task::Task;
 use crate::trail::Trail;
@@ -35,6 +36,9 @@
     pub(crate) claims: Claims,
     pub(crate) trail: Trail,
     pub(crate) views: Views,
+    /// By the name of the data centre. (Snapshots of earlier versions have none.)
+    #[serde(default)]
+    pub(crate) evacuations: BTreeMap<String, Evacuation>,
 }
 
 impl State {
@@ -202,6 +206,9 @@
                 self.vms.insert(key, VmRecord::new(key, vm));
             }
         }
+        if let Some(record) = self.vms.get_mut(&key) {
+            record.evacuated = self.evacuations.contains_key(record.vm.data_centre());
+        }
         self.room += 1;
         self.touch_vm(key);
     }
--- a/crates/pond-state/src/vm.rs
+++ b/crates/pond-state/src/vm.rs
@@ -43,6 +43,9 @@
     pub failed_at: Millis,
     /// How often it was put into quarantine since the last one that came to its end.
     pub quarantines: u32,
+    /// An operator evacuated its data centre. (Snapshots of earlier versions have none.)
+    #[serde(default)]
+    pub evacuated: bool,
 }
 
 /// Whether a VM is believed to run what it is given.
@@ -79,6 +82,7 @@
             failed: BTreeSet::new(),
             failed_at: Millis(0),
             quarantines: 0,
+            evacuated: false,
         }
     }
 
@@ -137,7 +141,7 @@
     /// Whether it takes new work.
     pub fn open(&self) -> bool {
         let listed = self.vm.presence == Presence::Live;
-        listed && !self.drained && self.liveness == Liveness::Live
+        listed && !self.drained && !self.evacuated && self.liveness == Liveness::Live
     }
 
     /// Whether its work shall go elsewhere.
--- a/crates/pond-state/tests/promises.rs
+++ b/crates/pond-state/tests/promises.rs
@@ -136,7 +136,7 @@
 #[test]
 fn closed_vms_take_nothing() {
     type Close = fn(&mut State);
-    let closed: [(&str, Close); 3] = [
+    let closed: [(&str, Close); 4] = [
         ("suspect", |state| {
             let (at, vm, why) = (Millis(1), VmKey(0), String::new());
             state.apply(Change::Judged { at, vm, liveness: Liveness::Suspect, why });
@@ -146,6 +146,9 @@
             let order = Order::Drain { selector, drained: true };
             state.apply(Change::Order { meta: meta("d"), order });
         }),
+        ("evacuated", |state| {
+            evacuate(state, "e", "north", true);
+        }),
         ("leaving", |state| {
             let leaving = pond_proto::Vm { presence: pond_proto::Presence::Leaving, ..vm("a") };
             state.apply(Change::Listed { at: Millis(1), vms: vec![leaving] });
@@ -160,6 +163,46 @@
     }
 }
 
+fn evacuate(state: &mut State, request: &str, name: &str, evacuated: bool) -> Reply {
+    let order = Order::Evacuate { data_centre: name.to_owned(), evacuated };
+    state.apply(Change::Order { meta: meta(request), order })
+}
+
+#[test]
+fn evacuations_hold_for_vms_that_come_later_and_until_they_are_taken_back() {
+    let mut state = state();
+    apply(&mut state, "1", vec![job("job"), job("later")]);
+    assert!(matches!(evacuate(&mut state, "2", "north", true), Reply::Accepted { .. }));
+    let new = pond_proto::Vm { name: "new".to_owned(), ..vm("a") };
+    state.apply(Change::Listed { at: Millis(2), vms: vec![new] });
+    assert!(state.vms().all(|vm| vm.evacuated == (vm.vm.data_centre() == "north")));
+    assert_eq!(state.evacuations().map(|(name, _)| name).collect::<Vec<_>>(), ["north"]);
+    evacuate(&mut state, "3", "north", false);
+    assert_eq!(state.evacuations().count(), 0);
+    assert!(matches!(place(&mut state, "job", 0, 0), Reply::Placed { .. }));
+}
+
+#[test]
+fn work_goes_on_in_an_evacuated_data_centre() {
+    let mut state = state();
+    apply(&mut state, "1", vec![job("job")]);
+    place(&mut state, "job", 0, 0);
+    let before = state.task(TaskKey(0)).expect("task").phase;
+    evacuate(&mut state, "2", "north", true);
+    assert_eq!(state.task(TaskKey(0)).expect("task").phase, before);
+    assert!(state.vms().all(|vm| !vm.leaving()));
+}
+
+#[test]
+fn unknown_data_centre_is_refused() {
+    let mut state = state();
+    for name in ["nowhere", ""] {
+        let reply = evacuate(&mut state, &format!("of-{name}"), name, true);
+        assert!(matches!(refused(&reply), Some(Refusal::NoMatch { .. })), "{name:?}");
+    }
+    assert_eq!(state.evacuations().count(), 0);
+}
+
 #[test]
 fn a_team_never_gets_more_than_its_quota() {
     let mut state = state();
