Each task that is given up is logged and counted, and 623 tells what is held against it

Cause: 624 and the counter tasks_given_up hung on the verdict of the last loss being Proven; a task given up for five likely losses failed its job without a word.

Change: what is held with a loss is computed in one place, State::held_with, which the state applies and the leader logs before it does; 623 is written for each counted loss of what had just begun, too, with losses, likely, proven and begun. A loss that is proposed again writes no second line.

--- a/crates/pond-job/src/state/runs.rs
+++ b/crates/pond-job/src/state/runs.rs
@@ -6,7 +6,7 @@
 
 use super::State;
 use crate::change::{End, Reply, Start};
-use crate::suspicion::Blame;
+use crate::suspicion::{Blame, Suspicion};
 
 impl State {
     /// Places the runs whose tasks may start; the others are left out of the reply.
@@ -114,26 +114,31 @@
         job.open -= newly;
     }
 
+    /// What is held against the task of a run with the loss of a life; none if the loss does not count, as the
+    /// run has no place there any more or nothing of its job goes on.
+    pub fn held_with(&self, worker: &str, blame: &Blame) -> Option<Suspicion> {
+        let runs = self.placed.get(worker)?;
+        let job = self.jobs.get(&blame.run.task.job).filter(|job| !job.phase.ended())?;
+        let task = job.task(blame.run.task).filter(|task| !task.done)?;
+        let mut held = task.suspicion.as_deref().cloned().unwrap_or_default();
+        let agent = self.agents.get(worker).map_or("", String::as_str);
+        held.add(blame, agent);
+        Some(held).filter(|_| runs.contains(&blame.run))
+    }
+
     /// Counts the loss of a life against tasks whose runs were lost with it. A proposal that is applied
     /// twice counts once, as the runs have no place there any more. A task that takes down its workers would
     /// do so for ever: its job has failed, whatever attempts it has left.
     pub(super) fn blame(&mut self, worker: &str, blame: &[Blame]) {
-        let agent = self.agents.get(worker).cloned().unwrap_or_default();
         for blame in blame {
-            let placed = self.placed.get(worker).is_some_and(|runs| runs.contains(&blame.run));
-            let Some(job) = self.jobs.get_mut(&blame.run.task.job).filter(|_| placed) else {
-                continue;
-            };
-            let ended = job.phase.ended();
-            let Some(task) = job.task_mut(blame.run.task).filter(|task| !task.done && !ended)
-            else {
-                continue;
-            };
-            let suspicion = task.suspicion.get_or_insert_default();
-            suspicion.add(blame, &agent);
-            if suspicion.convicts() {
+            let Some(held) = self.held_with(worker, blame) else { continue };
+            let Some(job) = self.jobs.get_mut(&blame.run.task.job) else { continue };
+            if held.convicts() {
                 job.phase = Phase::Failed;
             }
+            if let Some(task) = job.task_mut(blame.run.task) {
+                task.suspicion = Some(Box::new(held));
+            }
         }
     }
 
--- a/crates/pond-job/src/suspicion.rs
+++ b/crates/pond-job/src/suspicion.rs
@@ -64,6 +64,18 @@
     pub lived_ms: Span,
 }
 
+impl Blame {
+    /// Whether the run had just begun, or nothing is known of how long it had lived.
+    pub fn just_begun(&self) -> bool {
+        self.lived_ms < SURVIVED_MS
+    }
+
+    /// Whether operators should know of it: the run may have taken the worker down.
+    pub fn is_news(&self) -> bool {
+        self.verdict != Verdict::Beside || self.just_begun()
+    }
+}
+
 /// The losses of a task since it was last cleared.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Suspicion {
@@ -91,7 +103,7 @@
         self.losses += 1;
         self.likely += u32::from(blame.verdict != Verdict::Beside);
         self.proven += u32::from(blame.verdict == Verdict::Proven);
-        self.begun += u32::from(blame.lived_ms < SURVIVED_MS);
+        self.begun += u32::from(blame.just_begun());
         self.suspect |= blame.verdict != Verdict::Beside || self.losses >= BESIDE;
         self.lived_ms = self.lived_ms.max(blame.lived_ms);
         self.agents.push(agent.to_owned());
--- a/crates/pond-job/tests/suspicion.rs
+++ b/crates/pond-job/tests/suspicion.rs
@@ -217,6 +217,13 @@
     assert!(verdicts(&bench).is_empty());
 }
 
+#[test]
+fn operators_are_told_of_each_loss_of_what_had_just_begun() {
+    let told = |verdict, lived_ms| Blame { run: run(1), verdict, lived_ms }.is_news();
+    assert!(told(Verdict::Beside, 99) && told(Verdict::Suspected, 5_000));
+    assert!(!told(Verdict::Beside, 100));
+}
+
 #[test]
 fn workers_that_go_down_together_prove_nothing() {
     let mut bench = Bench::new();
--- a/crates/pond-replica/src/audit.rs
+++ b/crates/pond-replica/src/audit.rs
@@ -1,6 +1,6 @@
 //! What a leader writes to the log: its decisions, and what applied changes did.
 
-use pond_job::{Blame, Change, Decision, Obstacle, Reply, Start, Verdict};
+use pond_job::{Blame, Change, Decision, End, Obstacle, Reply, Start};
 use pond_log::event;
 use pond_proto::Span;
 use pond_proto::job::{Phase, RunName, Step};
@@ -83,7 +83,10 @@
                     "reply" => format!("{reply:?}"));
             }
             Change::Start(_) => self.log_starts(change.started(reply)),
-            Change::Ended { .. } | Change::Forget(_) | Change::Learned(_) => {}
+            Change::Ended { .. }
+            | Change::WorkerLost { .. }
+            | Change::Forget(_)
+            | Change::Learned(_) => {}
             Change::Evacuate { data_centre, at } => {
                 event!(self.log, EVACUATED, "data_centre" => data_centre.clone(),
                     "at_ms" => at.0, "index" => self.applied, "evacuated" => self.evacuated());
@@ -92,7 +95,6 @@
                 event!(self.log, READMITTED, "data_centre" => data_centre.clone(),
                     "index" => self.applied, "evacuated" => self.evacuated());
             }
-            Change::WorkerLost { worker, blame, .. } => self.log_blame(worker, blame, reply),
             Change::Cleared(runs) => {
                 for run in runs {
                     event!(self.log, TASK_CLEARED, "run" => run.to_string());
@@ -110,23 +112,6 @@
         names.join(" ")
     }
 
-    /// Logs which tasks may have taken down a worker, and which are given up for it.
-    fn log_blame(&self, worker: &str, blame: &[Blame], reply: &Reply) {
-        let failed = |job: u64| match reply {
-            Reply::Ended(jobs) => jobs.contains(&(job, Phase::Failed)),
-            _ => false,
-        };
-        for blame in blame.iter().filter(|blame| blame.verdict != Verdict::Beside) {
-            let (run, verdict) = (blame.run.to_string(), format!("{:?}", blame.verdict));
-            event!(self.log, TASK_SUSPECTED, "run" => run.clone(), "worker" => worker.to_owned(),
-                "verdict" => verdict, "lived_ms" => blame.lived_ms);
-            if blame.verdict == Verdict::Proven && failed(blame.run.task.job) {
-                self.metrics.count("tasks_given_up", 1);
-                event!(self.log, TASK_GIVEN_UP, "run" => run, "worker" => worker.to_owned());
-            }
-        }
-    }
-
     fn log_starts(&self, starts: Vec<&Start>) {
         for start in starts {
             event!(self.log, RUN_PLACED, "run" => start.run.to_string(),
@@ -134,14 +119,37 @@
         }
     }
 
-    /// Logs what a change that is about to be applied brings to an end, on the leader only. A proposal
+    /// Logs what a change that is about to be applied ends and loses, on the leader only. A proposal
     /// holds again what earlier ones held, which is no news.
     pub(crate) fn log_ends(&self, change: &Change) {
-        let Change::Ended { worker, ends, unstarted } = change else { return };
+        match change {
+            Change::Ended { worker, ends, unstarted } => self.log_ended(worker, ends, unstarted),
+            Change::WorkerLost { worker, blame, .. } => self.log_blame(worker, blame),
+            _ => {}
+        }
+    }
+
+    /// Logs which tasks may have taken down a worker, with all that is then held against each, and which are given
+    /// up for it.
+    fn log_blame(&self, worker: &str, blame: &[Blame]) {
+        for blame in blame.iter().filter(|blame| blame.is_news()) {
+            let Some(held) = self.state.held_with(worker, blame) else { continue };
+            let (run, verdict) = (blame.run.to_string(), format!("{:?}", blame.verdict));
+            event!(self.log, TASK_SUSPECTED, "run" => run.clone(), "worker" => worker.to_owned(),
+                "verdict" => verdict, "lived_ms" => blame.lived_ms, "losses" => held.losses,
+                "likely" => held.likely, "proven" => held.proven, "begun" => held.begun);
+            if held.convicts() {
+                self.metrics.count("tasks_given_up", 1);
+                event!(self.log, TASK_GIVEN_UP, "run" => run, "worker" => worker.to_owned());
+            }
+        }
+    }
+
+    fn log_ended(&self, worker: &str, ends: &[End], unstarted: &[RunName]) {
         let (ends, unstarted) = self.state.unsettled(worker, ends, unstarted);
         for end in ends {
             event!(self.log, RUN_ENDED, "run" => end.run.to_string(),
-                "worker" => worker.clone(), "how" => format!("{:?}", end.how),
+                "worker" => worker.to_owned(), "how" => format!("{:?}", end.how),
                 "number" => end.number);
         }
         for run in unstarted {
