A run that was not sent by a former report may have begun since

Cause: an agent asks its worker for a sign of life before it starts a suspect, and reports meanwhile that the run is unsent. If it then starts the run and goes down with the worker, the leader learns of the next life alone, took that report for the last word and counted nothing: an unsent run cannot have caused a loss. Only an agent that tells of the end itself knows what it had sent at last.

--- a/crates/pond-job/src/lead/ends.rs
+++ b/crates/pond-job/src/lead/ends.rs
@@ -149,8 +149,10 @@
         };
         let last = |run: RunName| match told(run) {
             Some(row) => {
-                let lived_ms = (!row.unsent).then_some(row.lived_ms.into());
-                // Only the agent of that time can tell what it had called at last.
+                // Only the agent of that time can tell what it had called at last: what was not sent by a
+                // former report may have been sent since, and have taken the worker down.
+                let unsent = row.unsent && end.is_some();
+                let lived_ms = (!unsent).then_some(row.lived_ms.into());
                 let met = row.met && end.is_some();
                 Last { run, lived_ms, told: true, met, save: row.save.clone() }
             }
