Bystanders no longer join a task that had just begun at several losses

Cause: a suspect that waits for a second joins others, unless those are likely the cause of several losses. Where nothing is told of lost workers no loss is likely, so the culprit was joined, and joined others, at each start, and who stood beside it five times was given up. Change: what had just begun at several losses, likely or not, begins alone.

--- a/crates/pond-job/src/suspicion.rs
+++ b/crates/pond-job/src/suspicion.rs
@@ -122,6 +122,11 @@
         proven || (self.losses >= LOSSES && likely) || self.begun >= LOSSES
     }
 
+    /// Whether it was the likely cause of several losses, or had just begun at several.
+    pub fn repeated(&self) -> bool {
+        self.likely.max(self.begun) > 1
+    }
+
     /// A run that has lived on for this long clears the task, in milliseconds.
     pub fn clears_at_ms(&self) -> Span {
         (self.lived_ms * 2 + SURVIVED_MS).min(BLAMED_MS)
--- a/crates/pond-job/tests/suspicion.rs
+++ b/crates/pond-job/tests/suspicion.rs
@@ -276,24 +276,39 @@
     assert!(!job.times[0][0].iter().any(Task::suspect));
 }
 
-/// Seen in the soak: a bystander of one loss joined what was likely the cause of two, again and again, until it was
-/// given up for five losses.
-#[test]
-fn nobody_joins_what_is_likely_the_cause_of_several_losses() {
+/// The jobs of one task each that begin on a single worker within some seconds, where these were lost so often
+/// before, each time just begun.
+fn begin_after(losses: &[(u64, Verdict, u32)]) -> Vec<u64> {
     let mut bench = Bench::new();
-    for id in [1, 2] {
-        bench.submit(id, vec![step(1, 1_000)]);
-    }
-    for (id, number) in [(1, 1), (1, 2), (2, 1)] {
-        let run = RunName { task: task(id, 0, 0), number };
-        let (worker, agent) = (format!("former-{id}-{number}"), "agent".to_owned());
-        bench.apply(Change::Start(vec![Start { run, worker: worker.clone(), agent }]));
-        let blame = vec![Blame { run, verdict: Verdict::Suspected, lived_ms: 0 }];
-        bench.apply(Change::WorkerLost { worker, saves: vec![], over: true, blame });
+    for (id, verdict, times) in losses {
+        bench.submit(*id, vec![step(1, 1_000)]);
+        for number in 1..=*times {
+            let run = RunName { task: task(*id, 0, 0), number };
+            let (worker, agent) = (format!("former-{id}-{number}"), "agent".to_owned());
+            bench.apply(Change::Start(vec![Start { run, worker: worker.clone(), agent }]));
+            let blame = vec![Blame { run, verdict: *verdict, lived_ms: 0 }];
+            bench.apply(Change::WorkerLost { worker, saves: vec![], over: true, blame });
+        }
     }
     bench.pass(2, &[]);
     bench.add_vm("a", 8_000);
     bench.settle();
-    let started: Vec<u64> = bench.started("a").iter().map(|run| run.task.job).collect();
-    assert_eq!(started, [1]);
+    bench.started("a").iter().map(|run| run.task.job).collect()
+}
+
+/// Seen in the soak: a bystander of one loss joined what was likely the cause of two, again and again, until it was
+/// given up for five losses.
+#[test]
+fn nobody_joins_what_is_likely_the_cause_of_several_losses() {
+    use Verdict::Suspected;
+    assert_eq!(begin_after(&[(1, Suspected, 2), (2, Suspected, 1)]), [1]);
+}
+
+/// Seen in random histories in which nothing is told of lost workers: bystanders joined a task that never had
+/// a likely loss, though it had just begun at each, and were given up with it.
+#[test]
+fn what_had_just_begun_at_several_losses_begins_with_nobody() {
+    use Verdict::{Beside, Suspected};
+    assert_eq!(begin_after(&[(1, Beside, 2), (2, Suspected, 1)]), [2]);
+    assert_eq!(begin_after(&[(1, Beside, 3)]), [1]);
 }
