A run that fails clears no task, and after three losses it is a start that users bear

Cause, found by reading: any end of its own cleared a task. A worker that fails whatever it starts would have ended a crashing task as failed after four losses, and its count would have begun anew: eight or more starts where five are borne.

Change: only an end as done, or living on, clears a task; a failure after three losses counts as one more start.

--- a/crates/pond-job/src/state/runs.rs
+++ b/crates/pond-job/src/state/runs.rs
@@ -82,15 +82,23 @@
         if !save.is_empty() {
             task.save = save;
         }
-        if matches!(how, How::Done | How::Failed) && task.run == run.number {
-            // It came to its own end, and its worker told of it.
+        let newest = task.run == run.number;
+        if how == How::Done && newest {
             task.suspicion = None;
         }
+        // A worker that fails whatever it starts tells nothing of what the task does to others, so a failure
+        // clears nothing.
+        let held = task.suspicion.as_mut().filter(|_| how == How::Failed && newest);
+        let given_up = held.is_some_and(|held| {
+            held.add_failure();
+            held.convicts()
+        });
         match how {
             How::Done if !lasting => self.done(run.task, gang),
-            How::Failed if !lasting => {
-                task.failed += 1;
-                if task.failed >= attempts && !job.phase.ended() {
+            How::Failed => {
+                task.failed += u32::from(!lasting);
+                let used_up = !lasting && task.failed >= attempts;
+                if (used_up || given_up) && !job.phase.ended() {
                     job.phase = Phase::Failed;
                 }
             }
--- a/crates/pond-job/src/suspicion.rs
+++ b/crates/pond-job/src/suspicion.rs
@@ -91,8 +91,8 @@
     pub lived_ms: Span,
     /// The agents beside the workers that were lost, the newest last.
     pub agents: Vec<String>,
-    /// At how many of the losses it had just begun, or nothing is known of how long it had lived. (Snapshots of
-    /// earlier versions have none.)
+    /// At how many of the losses it had just begun, or nothing is known of how long it had lived; and how many
+    /// runs failed after several losses. (Snapshots of earlier versions have none.)
     #[serde(default)]
     pub begun: u32,
 }
@@ -111,6 +111,11 @@
         self.agents.drain(..more);
     }
 
+    /// A run of it ended as failed: one more start in which it did not live on, once users only bear so many.
+    pub fn add_failure(&mut self) {
+        self.begun += u32::from(self.losses >= LOSSES_WITH_PROOFS);
+    }
+
     /// Whether the task is given up.
     ///
     /// Verdicts say how likely it caused each loss, by what else went down and by what was told, and a history in
--- a/crates/pond-job/tests/suspicion.rs
+++ b/crates/pond-job/tests/suspicion.rs
@@ -104,9 +104,15 @@
     assert_eq!(suspicion(&state).map(|suspicion| suspicion.losses), Some(1));
 }
 
+fn end(state: &mut State, number: u32, how: How) {
+    let end = End { number: 1, run: run(number), how, save: String::new() };
+    let worker = format!("life-{number}");
+    state.apply(Change::Ended { worker, ends: vec![end], unstarted: vec![] });
+}
+
 #[test]
-fn run_that_lives_on_or_comes_to_its_own_end_clears_its_task() {
-    let mut state = state(vec![step(1, 100)]);
+fn run_that_lives_on_or_is_done_clears_its_task() {
+    let mut state = state(vec![step(1, 100), step(1, 100)]);
     lose(&mut state, &[Verdict::Suspected]);
     start(&mut state, 2);
     state.apply(Change::Cleared(vec![run(1)]));
@@ -116,12 +122,27 @@
 
     state.apply(loss(2, Verdict::Suspected));
     start(&mut state, 3);
-    let end = End { number: 1, run: run(3), how: How::Failed, save: String::new() };
-    let worker = "life-3".to_owned();
-    state.apply(Change::Ended { worker, ends: vec![end], unstarted: vec![] });
+    end(&mut state, 3, How::Done);
     assert_eq!(suspicion(&state), None);
 }
 
+/// Found by reading: a task was started more often than is borne. How it came about: four workers went down under
+/// it, then one that fails whatever it starts ended it as failed, and four more went down. Cause: any end of
+/// its own cleared a task, though a failure tells nothing of what it does to workers.
+#[test]
+fn run_that_fails_clears_nothing_and_is_a_start_that_users_bear() {
+    use Verdict::{Proven, Suspected};
+    let mut state = state(vec![step(1, 100)]);
+    lose(&mut state, &[Suspected, Suspected, Proven]);
+    start(&mut state, 4);
+    end(&mut state, 4, How::Failed);
+    assert_eq!(suspicion(&state).map(|held| (held.losses, held.begun)), Some((3, 4)));
+    assert_eq!(phase(&state), Phase::Running);
+    start(&mut state, 5);
+    state.apply(loss(5, Suspected));
+    assert_eq!(phase(&state), Phase::Failed);
+}
+
 #[test]
 fn losses_are_kept_in_snapshots() {
     let mut state = state(vec![step(1, 100)]);
