--- a/crates/pond-agent/src/core/answers.rs
+++ b/crates/pond-agent/src/core/answers.rs
@@ -68,7 +68,7 @@
     }
 
     /// The worker lives, or nobody takes calls at its address. A worker that is down is of no use until it is
-    /// back: without the second it was given work for another 1.4 to 3.5 s, all in vain.
+    /// back: without the second it would be given work until then, all in vain.
     fn note_alive(&mut self, now: Millis, reply: &Reply) {
         match reply {
             Reply::Unknown => {}
--- a/crates/pond-job/src/lead/blame.rs
+++ b/crates/pond-job/src/lead/blame.rs
@@ -21,8 +21,7 @@
 const TOGETHER: usize = 2;
 
 /// A run counts as likely the cause whatever else goes down if its task was beside so many losses before: a
-/// suspect began apart, so what goes down elsewhere has little to do with it. (Where two of six workers go down by
-/// themselves every 0.4 s, a task that takes down its workers is started five times instead of eight.)
+/// suspect began apart, so what goes down elsewhere has little to do with it.
 const REPEATED: u32 = 2;
 
 /// When workers were lost, as this leader knows it.
@@ -130,8 +129,8 @@
     /// What is known of a lost life.
     ///
     /// Of a worker whose agent went down with it nothing is told. Where that happens to one after the other, as
-    /// when all power is lost, to take all that had its place there for suspects kept a whole fleet from work
-    /// for three seconds after each such loss (mean worth of 60 days 0.014 less, standard error 0.006).
+    /// when all power is lost, to take all that had its place there for suspects would keep a whole fleet from
+    /// work until each had begun apart.
     fn case<'a>(
         &self,
         state: &State,
--- a/crates/pond-job/src/lead/evict.rs
+++ b/crates/pond-job/src/lead/evict.rs
@@ -9,8 +9,7 @@
 use crate::state::State;
 
 /// From this part of its work on, in percent, a run is left to end by itself: a move costs it more
-/// than it spares the others. If it lasts after all, the agent slows it down. (Mean worth of 24 days
-/// without it 0.587 and 0.621, from 70 percent on 0.605 and 0.626, from 50 on 0.597 and 0.647.)
+/// than it spares the others. If it lasts after all, the agent slows it down.
 const SOON_DONE_PERCENT: u32 = 50;
 
 impl Leader {
--- a/crates/pond-job/src/lead/harm.rs
+++ b/crates/pond-job/src/lead/harm.rs
@@ -15,8 +15,7 @@
 use crate::state::State;
 
 /// Filling work is placed only where pressures are expected to stay this far below those at which
-/// targets are missed: loads go up by some hundredths within the second until the next figure. (0,
-/// 0.02 and 0.05 measure alike, 0.10 is worse; see docs/MEASUREMENTS.md.)
+/// targets are missed: loads go up by some hundredths within the second until the next figure.
 const MARGIN: f64 = 0.05;
 
 /// A filling task that adds less than this to a pressure is not held back, however high it is
@@ -24,15 +23,12 @@
 const SLIGHT: f64 = 0.02;
 
 /// A filling run that has ended shows in the figures for a while: with each new figure, half of it.
-/// (Tails after the end of a disturbance: 233, 128, 74, 29 ms, half a second apart.)
 const FADING: f64 = 0.5;
 
 /// Pressures over shares of the worker's processors. About half of all pairs of images do not harm
 /// each other, others press with up to five times their share. About two reports a second come from
 /// each worker, but what one image does to another hardly changes: certainty that is kept buys
-/// filling work that is done in time. (Mean worth of 45 days with a growth of 0.002, 0.0004 and
-/// 0.0001: 0.501, 0.520, 0.530, standard error of a difference 0.006; with coefficients that go back
-/// to the first mean by 0.003 a measurement 0.475. First means of 0.4 to 1.5 measure alike.)
+/// filling work that is done in time.
 const TUNING: Tuning = Tuning { mean: 0.8, variance: 2.5, growth: 0.0001 };
 
 /// What is learned, by the image of the serving tasks.
@@ -48,8 +44,7 @@
 }
 
 /// Serving tasks of one image beside the filling tasks of a worker. A plan asks many times what one more
-/// filling task would do, so the sum over those that are there is kept: without it a trial among 1,200
-/// workers takes 10 to 17 ms.
+/// filling task would do, so the sum over those that are there is kept.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Pressed {
     /// The serving tasks.
--- a/crates/pond-job/src/lead/load.rs
+++ b/crates/pond-job/src/lead/load.rs
@@ -2,12 +2,10 @@
 
 use pond_proto::{Millis, Span};
 
-/// The usual load, as a pressure; what serves asks for its peak and uses about half of it. (The mean
-/// over a calm day's reports is 0.44 to 0.51 for each image of both trial sites.)
+/// The usual load, as a pressure; what serves asks for its peak and uses about half of it.
 const USUAL: f64 = 0.45;
 
-/// The variance of loads about the usual one: they swing by half. (The same reports leave a
-/// deviation of 0.14 to 0.17.)
+/// The variance of loads about the usual one: they swing by half.
 const VARIANCE: f64 = 0.025;
 
 /// A load that was not measured for this long may be anything usual, in milliseconds: loads swing
--- a/crates/pond-job/src/lead/order.rs
+++ b/crates/pond-job/src/lead/order.rs
@@ -18,7 +18,7 @@
 
 impl Leader {
     /// Leaves out lives of which all placed runs are listed and should go on, until something of them
-    /// changes. (Looks that walked all runs three times took 0.7 ms at 300 workers and 5 at 1,200.)
+    /// changes.
     pub(super) fn leave_settled(&mut self, state: &State) {
         let mut unsettled = std::mem::take(&mut self.unsettled);
         unsettled.retain(|life| !self.settled(state, life));
--- a/crates/pond-job/src/lead/overdue.rs
+++ b/crates/pond-job/src/lead/overdue.rs
@@ -3,12 +3,12 @@
 //! What is learned of harm, of health and of what serving tasks use may be wrong, and loads change.
 //! What is not placed shows nothing, so such a belief is never put to the test by itself. Without a
 //! bound a job whose image is taken to disturb everywhere would wait for ever with most of the room
-//! free, as on two of 45 days without trials.
+//! free.
 //!
-//! Trials go to the job that has stood still for longest. In the order of urgency a begun job came
-//! first again after each of its tasks, and one at the end of that order stood still for 30 s while 46
-//! others had 234 trials. A job that has had a trial does not wait for its patience again: its next
-//! one would start only after two seconds in which nothing of it runs.
+//! Trials go to the job that has stood still for longest. In the order of urgency a begun job would come
+//! first again after each of its tasks, and one at the end of that order would stand still meanwhile. A job
+//! that has had a trial does not wait for its patience again: its next one would start only after two seconds
+//! in which nothing of it runs.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/pond-job/src/lead/plan.rs
+++ b/crates/pond-job/src/lead/plan.rs
@@ -16,9 +16,7 @@
 pub(super) const STARTS: usize = 256;
 
 /// Serving tasks wait this long for others, in milliseconds, so that they are packed image by image:
-/// callers hand in what belongs together within some 50 ms. (With the two waits below and the order
-/// of packing, 45 days without faults earn 0.679 instead of 0.645, standard error 0.013; days with
-/// faults the same.)
+/// callers hand in what belongs together within some 50 ms.
 const GATHER_MS: Span = 150;
 
 /// A new leader plans nothing for this long, in milliseconds: by then most agents have found it, and
@@ -92,9 +90,7 @@
 
     /// Whether serving tasks wait: for others that come about then, so that they are packed
     /// together, or for workers that this replica has not heard of yet. Filling tasks wait with them: those
-    /// that took the workers meanwhile were moved within a second, 396 of them after a restart of 76 workers.
-    /// (15 days of that fleet earn 0.539 instead of 0.512, standard error 0.007; serving tasks are over their
-    /// targets for 679 instead of 813 s a day, 326 instead of 424 core-seconds are thrown away.)
+    /// that took the workers meanwhile would have to move again within a second.
     fn gathers(&mut self, state: &State, now: Millis, ready: &[Ready<'_>]) -> bool {
         if ready.iter().all(|group| group.served.is_none()) {
             self.gathering = None;
--- a/crates/pond-job/src/lead/pressure.rs
+++ b/crates/pond-job/src/lead/pressure.rs
@@ -4,9 +4,7 @@
 //! Tails grow like those of a queue: a task whose share of spare time is `1 - pressure` answers
 //! that much slower than on an idle worker. So tails say little while there is spare time and shoot
 //! up when there is hardly any left, but pressures add up: the task's own load and a part from each
-//! filling run beside it. (On a day's reports of both trial sites, tails of one pair of images went
-//! from 14 to 233 ms with the filling share from 0.14 to 0.20; over pressures the same figures lie
-//! on a line.)
+//! filling run beside it.
 
 /// Pressures above this cannot be told apart by tails.
 pub const SATURATED: f64 = 0.95;
--- a/crates/pond-job/src/lead/rank.rs
+++ b/crates/pond-job/src/lead/rank.rs
@@ -3,8 +3,7 @@
 //! All waiting tasks of a step are alike, and steps of a kind come again and again. So workers are
 //! weighed once for a group, and after each placement only the one that changed; and what found no
 //! place in a plan is not weighed again for the next group that asks for the same, as workers only
-//! get fuller while a plan goes on. (At 1,200 workers a plan of ten groups of 24 tasks that
-//! fit takes 2.8 instead of 9.3 ms, one of 150 groups that are alike and find no room 0.9 instead of 4.1.)
+//! get fuller while a plan goes on.
 
 use std::collections::BTreeSet;
 
--- a/crates/pond-job/src/lead/ready.rs
+++ b/crates/pond-job/src/lead/ready.rs
@@ -158,8 +158,7 @@
 ///
 /// A job counts by its work, and in part as any other of its queue. So what is nearly done is finished first, and of
 /// those that are not begun the small ones go before large ones: more jobs are done in time with the same
-/// processors. (Against the part of each job's own work that is left, 20 days of a pool that serves to nine
-/// tenths: worth 0.575 instead of 0.557, standard error 0.006; of the filling jobs 0.518 instead of 0.485.)
+/// processors.
 fn left_share(durations: &Durations, job: &Job, time: usize) -> u64 {
     let all = durations.work(job, time, |_| true);
     let left = durations.work(job, time, |task| !task.done);
--- a/crates/pond-job/src/lesson.rs
+++ b/crates/pond-job/src/lesson.rs
@@ -1,7 +1,6 @@
 //! What a leader has learned of harm, as it is kept in the replicated state for the next one.
 //!
-//! With three to five leaders a day this spares serving tasks a tenth of their time over targets (143
-//! instead of 160 s a day, mean of 45 days, standard error of the difference 4).
+//! It spares serving tasks the time over their targets that a new leader would need to learn it again.
 
 use std::collections::BTreeMap;
 
--- a/crates/pond-job/src/suspicion.rs
+++ b/crates/pond-job/src/suspicion.rs
@@ -9,8 +9,8 @@
 use serde::{Deserialize, Serialize};
 
 /// A run with which its worker has lived on for this long did not take it down at its start, in
-/// milliseconds: ten times the ten milliseconds after which workers were seen to go down. The shorter it is, the fewer
-/// begin within it beside a culprit, and the sooner a suspect frees its worker.
+/// milliseconds. The shorter it is, the fewer begin within it beside a culprit, and the sooner a suspect frees its
+/// worker.
 pub const SURVIVED_MS: Span = 100;
 
 /// A loss says nothing about a run with which the worker has lived on for this long, in milliseconds. So
--- a/crates/pond-job/tests/suspects.rs
+++ b/crates/pond-job/tests/suspects.rs
@@ -8,11 +8,11 @@
 //! workers go down by themselves, one or all at once. Each seed gives a pool, its jobs and its faults; with
 //! even seeds workers go down under tasks only.
 //!
-//! By hand, seeds 40 to 999, 1,903 tasks that take down workers at once: most took down three, 79 of them
-//! five, none more; of 820 others 70 took down six to nine. With even seeds nobody was given up for others;
-//! with odd ones, where each worker also goes down by itself every ten seconds to a minute, one job was
-//! (685). One job (975) waits for its next try at the end, and eleven jobs wait for more than three seconds
-//! though the last fault is 34 s ago. `SUSPECT_SEEDS=first..end` runs other seeds than those of CI, as in
+//! The same bound holds where hardly anything is told of the workers that go down under a task: most often its
+//! agent goes down with it, or a new leader has just begun when it is back, or it stays away for longer than
+//! its lease.
+//!
+//! `SUSPECT_SEEDS=first..end` runs other seeds than those of CI, as in
 //! `SUSPECT_SEEDS=100..1100 cargo test -p pond-job --test suspects -- --nocapture`.
 
 mod support;
