A task is given up by odds: in calm two lost workers are enough

A task was given up for two proofs of three losses, or five, the same where workers never go down by themselves and where they always do.

Change: each loss changes, by Bayes' rule, how likely the task takes its workers down: by who else had just begun there, how likely those were, and how often the leader sees workers go down that no start explains (idle ones count). Given up at two losses or more and odds of fifty to one. The former counts stand beside it, five starts stay the bound. The likelihood is part of the replicated suspicion; the observed rate is not: a new leader begins with one loss in ten seconds of one worker.

--- a/crates/pond-job/src/lead/blame.rs
+++ b/crates/pond-job/src/lead/blame.rs
@@ -7,11 +7,12 @@
 use pond_proto::{Millis, Span};
 
 use super::ends::Last;
+use super::odds::{self, Causes, Rate};
 use super::plan::KNOWN_MS;
 use super::{Leader, Lost, Output, PROPOSE_AGAIN_MS};
 use crate::change::Change;
 use crate::state::State;
-use crate::suspicion::{BLAMED_MS, Blame, SURVIVED_MS, Verdict};
+use crate::suspicion::{BLAMED_MS, Blame, SURVIVED_MS, Suspicion, Verdict};
 
 /// Losses of workers that are no further apart than this may have one cause, as a rack or a switch, in
 /// milliseconds. Lives that come back after a loss of power register within some two seconds.
@@ -33,6 +34,8 @@
     unexplained: BTreeMap<String, Millis>,
     /// Runs that are proposed to clear their tasks, and when they last were.
     clearing: BTreeMap<RunName, Millis>,
+    /// How often workers go down by themselves.
+    rate: Rate,
 }
 
 impl Losses {
@@ -41,6 +44,11 @@
         self.crashed.get(agent).copied()
     }
 
+    /// A worker on which nothing ran went down, so by itself.
+    pub fn note_idle(&mut self) {
+        self.rate.note();
+    }
+
     /// Whether several other workers went down of late for a reason that has nothing to do with their runs.
     fn others(&self, now: Millis, agent: &str) -> bool {
         let lately = |(other, at): &(&String, &Millis)| {
@@ -57,6 +65,8 @@
     there: Vec<(&'a Last, Span)>,
     /// Several other workers went down at about the same time.
     together: bool,
+    /// No others did, and the leader has led for long enough to know.
+    alone: bool,
     /// Those that likely did.
     likely: BTreeSet<RunName>,
     /// Those of them whose tasks had been beside several losses before.
@@ -116,16 +126,48 @@
             };
             if !case.there.iter().any(explained) {
                 self.losses.unexplained.insert(agent.to_owned(), now);
+                self.losses.rate.note();
             }
         }
+        let causes = self.causes(state, now, &case);
         let blame = |(last, lived_ms): &(&Last, Span)| {
             let (run, lived_ms) = (last.run, *lived_ms);
-            let verdict = case.verdict(run, just_begun(state, run, lived_ms))?;
-            Some(Blame { run, verdict, lived_ms })
+            let begun = just_begun(state, run, lived_ms);
+            let blame = Blame::new(run, case.verdict(run, begun)?, lived_ms);
+            Some(if begun { blame.with_likely(causes.after(odds_of(state, run))) } else { blame })
         };
         case.there.iter().filter_map(blame).collect()
     }
 
+    /// What may have caused a loss besides each task that had just begun there.
+    fn causes(&self, state: &State, now: Millis, case: &Case<'_>) -> Causes {
+        let begun = || case.there.iter().filter(|(last, ms)| just_begun(state, last.run, *ms));
+        let clear = case.alone && case.why == Lost::Crashed && begun().all(|(last, _)| last.told);
+        let mut causes = match clear {
+            true => Causes::new(self.by_itself(state, now, begun())),
+            false => Causes::unclear(),
+        };
+        for (last, _) in begun() {
+            causes.add(last.run.task.job, odds_of(state, last.run));
+        }
+        causes
+    }
+
+    /// The chance that a worker went down by itself in the time in which a task had just begun there.
+    fn by_itself<'a>(
+        &self,
+        state: &State,
+        now: Millis,
+        begun: impl Iterator<Item = &'a (&'a Last, Span)>,
+    ) -> f64 {
+        let window = |(last, _): &(&Last, Span)| {
+            let clears_ms = state.suspicion(last.run).map(Suspicion::clears_at_ms);
+            odds::window_ms(last.met, clears_ms.unwrap_or(SURVIVED_MS))
+        };
+        let window_ms = begun.map(window).max().unwrap_or(SURVIVED_MS);
+        self.losses.rate.within(window_ms, self.workers.len(), now.since(self.since))
+    }
+
     /// What is known of a lost life.
     ///
     /// Of a worker whose agent went down with it nothing is told. Where that happens to one after the other, as
@@ -155,7 +197,7 @@
             there.iter().filter(likely).map(|(last, _)| last.run).collect();
         let losses = |run: &RunName| state.suspicion(*run).map_or(0, |before| before.losses);
         let repeated = likely.iter().filter(|run| losses(run) >= REPEATED).copied().collect();
-        Case { why, there, together, likely, repeated }
+        Case { why, there, together, alone, likely, repeated }
     }
 
     /// Proposes to clear tasks whose runs have lived on for long enough.
@@ -181,6 +223,11 @@
     }
 }
 
+/// How likely the task of a run takes down its workers, as far as its losses tell.
+fn odds_of(state: &State, run: RunName) -> Option<f64> {
+    state.suspicion(run)?.odds
+}
+
 /// Whether a run with which its worker had lived on for so long may have taken it down: it had just begun, or
 /// has not cleared its task yet.
 fn just_begun(state: &State, run: RunName, lived_ms: Span) -> bool {
--- a/crates/pond-job/src/lead/ends.rs
+++ b/crates/pond-job/src/lead/ends.rs
@@ -59,13 +59,17 @@
 
     /// A life of a worker is over, so nothing of it runs. Its agent may have told of its end.
     pub(super) fn over(&mut self, state: &State, now: Millis, life: &str, end: Option<&Report>) {
-        if state.placed(life).next().is_some() || state.settled(life) > 0 {
-            let left = end.is_some_and(|end| end.left)
-                || self.workers.get(life).is_some_and(|worker| worker.draining);
+        let left = end.is_some_and(|end| end.left)
+            || self.workers.get(life).is_some_and(|worker| worker.draining);
+        let idle = state.placed(life).next().is_none();
+        if !idle || state.settled(life) > 0 {
             let why = if left { Lost::Left } else { Lost::Crashed };
             self.propose_lost(state, now, life, why, end);
         }
-        self.workers.remove(life);
+        let known = self.workers.remove(life).is_some();
+        if known && idle && !left {
+            self.losses.note_idle();
+        }
     }
 
     /// Gives up workers whose lease has surely run out.
--- a/crates/pond-job/src/lead/mod.rs
+++ b/crates/pond-job/src/lead/mod.rs
@@ -21,6 +21,7 @@
 mod image;
 mod load;
 mod obstacle;
+mod odds;
 mod order;
 mod output;
 mod overdue;
--- a/crates/pond-job/src/suspicion.rs
+++ b/crates/pond-job/src/suspicion.rs
@@ -29,6 +29,13 @@
 /// A task is given up for two proofs only with so many losses in all.
 const LOSSES_WITH_PROOFS: u32 = 3;
 
+/// A task is given up for no fewer losses, however likely it is.
+const FEWEST: u32 = 2;
+
+/// A task is given up that takes down its workers this likely, from 0 to 1. A bystander that is given up costs its
+/// caller the whole job, one more worker that goes down costs some fifty callers a run each: so at fifty to one.
+const CERTAIN: f64 = 0.98;
+
 /// With so many losses a task is given up for one proof, or if it was likely the cause of most of them, or if it
 /// had just begun at each: users bear five starts.
 const LOSSES: u32 = 5;
@@ -62,9 +69,24 @@
     pub verdict: Verdict,
     /// For how long the worker was known to have lived on with the run, in milliseconds.
     pub lived_ms: Span,
+    /// How likely the task takes down its workers, with this loss, from 0 to 1; none if the loss tells nothing of
+    /// it. (Entries of earlier versions have none.)
+    #[serde(default)]
+    pub likely: Option<f64>,
 }
 
 impl Blame {
+    /// The loss of a run with which its worker had lived on for so long, in milliseconds.
+    pub fn new(run: RunName, verdict: Verdict, lived_ms: Span) -> Blame {
+        Blame { run, verdict, lived_ms, likely: None }
+    }
+
+    /// With it the task takes down its workers that likely, from 0 to 1.
+    pub fn with_likely(mut self, likely: f64) -> Blame {
+        self.likely = Some(likely);
+        self
+    }
+
     /// Whether the run had just begun, or nothing is known of how long it had lived.
     pub fn just_begun(&self) -> bool {
         self.lived_ms < SURVIVED_MS
@@ -95,6 +117,9 @@
     /// runs failed after several losses. (Snapshots of earlier versions have none.)
     #[serde(default)]
     pub begun: u32,
+    /// How likely it takes down its workers, from 0 to 1; none before a loss told of it.
+    #[serde(default)]
+    pub odds: Option<f64>,
 }
 
 impl Suspicion {
@@ -104,6 +129,7 @@
         self.likely += u32::from(blame.verdict != Verdict::Beside);
         self.proven += u32::from(blame.verdict == Verdict::Proven);
         self.begun += u32::from(blame.just_begun());
+        self.odds = blame.likely.or(self.odds);
         self.suspect |= blame.verdict != Verdict::Beside || self.losses >= BESIDE;
         self.lived_ms = self.lived_ms.max(blame.lived_ms);
         self.agents.push(agent.to_owned());
@@ -124,7 +150,8 @@
     pub fn convicts(&self) -> bool {
         let proven = self.proven >= PROVEN && self.losses >= LOSSES_WITH_PROOFS;
         let likely = self.proven > 0 || self.likely >= LIKELY;
-        proven || (self.losses >= LOSSES && likely) || self.begun >= LOSSES
+        let certain = self.losses >= FEWEST && self.odds.is_some_and(|odds| odds >= CERTAIN);
+        certain || proven || (self.losses >= LOSSES && likely) || self.begun >= LOSSES
     }
 
     /// Whether it was the likely cause of several losses, or had just begun at several.
--- a/crates/pond-job/tests/crashes.rs
+++ b/crates/pond-job/tests/crashes.rs
@@ -99,3 +99,32 @@
         assert_eq!(pool.bench.phase(id), Some(Phase::Completed), "job {id}");
     }
 }
+
+/// Where no worker goes down by itself, a second crash with nobody beside the task is no chance.
+#[test]
+fn two_workers_are_enough_where_none_goes_down_by_itself() {
+    let mut pool = Pool::new(8);
+    pool.pass(20_000);
+    pool.culprits.insert(task(10, 0, 0));
+    pool.bench.submit(10, vec![step(1, 3_000)]);
+    pool.pass(20_000);
+    assert_eq!((pool.starts[&task(10, 0, 0)], pool.crashes), (2, 2));
+    assert_eq!(pool.ended.get(&10), Some(&Phase::Failed));
+}
+
+/// Where workers go down by themselves all along, two crashes may be chance.
+#[test]
+fn two_workers_are_not_enough_where_they_go_down_by_themselves() {
+    let mut pool = Pool::new(8);
+    for place in (0..8).cycle().take(24) {
+        pool.crash(place);
+        pool.pass(1_000);
+    }
+    pool.pass(6_000);
+    pool.culprits.insert(task(10, 0, 0));
+    pool.bench.submit(10, vec![step(1, 3_000)]);
+    pool.pass(30_000);
+    let starts = pool.starts[&task(10, 0, 0)];
+    assert!((3..=MOST_STARTS).contains(&starts), "{starts} starts");
+    assert_eq!(pool.ended.get(&10), Some(&Phase::Failed));
+}
--- a/crates/pond-job/tests/suspicion.rs
+++ b/crates/pond-job/tests/suspicion.rs
@@ -32,7 +32,7 @@
 }
 
 fn loss_after(number: u32, verdict: Verdict, lived_ms: Span) -> Change {
-    let blame = vec![Blame { run: run(number), verdict, lived_ms }];
+    let blame = vec![Blame::new(run(number), verdict, lived_ms)];
     let worker = format!("life-{number}");
     Change::WorkerLost { worker, saves: vec![], over: true, blame }
 }
@@ -176,8 +176,16 @@
     let former = (4u32, 2u32, 1u32, true, 7u64, agents.clone());
     let bytes = rmp_serde::to_vec(&former).unwrap();
     let suspicion: Suspicion = rmp_serde::from_slice(&bytes).unwrap();
-    let wanted =
-        Suspicion { losses: 4, likely: 2, proven: 1, suspect: true, lived_ms: 7, agents, begun: 0 };
+    let wanted = Suspicion {
+        losses: 4,
+        likely: 2,
+        proven: 1,
+        suspect: true,
+        lived_ms: 7,
+        agents,
+        begun: 0,
+        odds: None,
+    };
     assert_eq!(suspicion, wanted);
 }
 
@@ -256,7 +264,7 @@
 
 #[test]
 fn operators_are_told_of_each_loss_of_what_had_just_begun() {
-    let told = |verdict, lived_ms| Blame { run: run(1), verdict, lived_ms }.is_news();
+    let told = |verdict, lived_ms| Blame::new(run(1), verdict, lived_ms).is_news();
     assert!(told(Verdict::Beside, 99) && told(Verdict::Suspected, 5_000));
     assert!(!told(Verdict::Beside, 100));
 }
@@ -307,7 +315,7 @@
             let run = RunName { task: task(*id, 0, 0), number };
             let (worker, agent) = (format!("former-{id}-{number}"), "agent".to_owned());
             bench.apply(Change::Start(vec![Start { run, worker: worker.clone(), agent }]));
-            let blame = vec![Blame { run, verdict: *verdict, lived_ms: 0 }];
+            let blame = vec![Blame::new(run, *verdict, 0)];
             bench.apply(Change::WorkerLost { worker, saves: vec![], over: true, blame });
         }
     }
