--- a/crates/pond-job/src/lead/mod.rs
+++ b/crates/pond-job/src/lead/mod.rs
@@ -261,6 +261,11 @@
         }
     }
 
+    /// How many jobs of a queue wait with no task begun.
+    pub fn waiting(&self, state: &State, queue: &str) -> u64 {
+        state.waiting(queue)
+    }
+
     /// A start proposal could not be made.
     pub fn start_rejected(&mut self) {
         self.starting = None;
