A job waits until a task of it is known to have begun, not until it has a place

Callers who asked how many jobs wait were told one while five had waited for five seconds. Cause: a job counted as begun once the start of a task was in the log. Where workers go down under other tasks, many jobs are given to one that is already down, and then to the next. Change: a job keeps whether a run of it that is over is known to have begun (an end, or listed or lived on with before its worker was lost); what has a place now has begun once its worker lists it. A new leader takes what it has not heard of yet for begun, as before.

Ruled out: the phase Queued again after a loss; it misses the three seconds until a loss is known.

--- a/crates/pond-job/src/change.rs
+++ b/crates/pond-job/src/change.rs
@@ -48,7 +48,7 @@
     WorkerLost {
         /// The life of the worker.
         worker: String,
-        /// The newest known saves of what ran there.
+        /// What is known to have run there, with its newest known saves.
         saves: Vec<(RunName, String)>,
         /// Whether the worker will not come back under this name.
         over: bool,
--- a/crates/pond-job/src/job.rs
+++ b/crates/pond-job/src/job.rs
@@ -1,7 +1,7 @@
 //! An accepted job with its tasks.
 
 use pond_proto::Millis;
-use pond_proto::job::{Phase, Spec, Step, TaskName};
+use pond_proto::job::{Phase, RunName, Spec, Step, TaskName};
 use serde::{Deserialize, Serialize};
 
 use crate::configuration::Advice;
@@ -34,6 +34,9 @@
     pub open: usize,
     /// Tasks that are placed on a worker.
     pub placed: usize,
+    /// A run of it is known to have begun that is over since. (Snapshots of earlier versions do not say.)
+    #[serde(default)]
+    pub begun: bool,
 }
 
 /// A task of a job.
@@ -84,6 +87,19 @@
         steps.get_mut(name.step as usize)?.get_mut(name.index as usize)
     }
 
+    /// The runs of the job with that id that have a place, each with its life of a worker.
+    pub fn places(&self, id: u64) -> impl Iterator<Item = (RunName, &str)> {
+        let steps = self.times.iter().zip(0..).flat_map(|(steps, time)| {
+            steps.iter().zip(0..).map(move |(tasks, step)| (time, step, tasks))
+        });
+        steps.flat_map(move |(time, step, tasks)| {
+            tasks.iter().zip(0..).filter_map(move |(task, index)| {
+                let name = TaskName { job: id, time, step, index };
+                Some((RunName { task: name, number: task.run }, task.worker.as_deref()?))
+            })
+        })
+    }
+
     /// Whether a step's turn has come at a time of the job: all steps before it are done.
     pub fn turn(&self, time: usize, step: usize) -> bool {
         let (Some(steps), Some(spec)) = (self.times.get(time), self.spec.steps.get(step)) else {
--- a/crates/pond-job/src/lead/ends.rs
+++ b/crates/pond-job/src/lead/ends.rs
@@ -34,6 +34,8 @@
     pub told: bool,
     /// The worker was known to live when the run was started there.
     pub met: bool,
+    /// The run is known to have begun.
+    began: bool,
     save: String,
 }
 
@@ -122,7 +124,8 @@
             .filter(|last| state.placed(life).any(|run| run == last.run))
             .cloned()
             .collect();
-        let saves = runs.iter().map(|last| (last.run, last.save.clone())).collect();
+        let began = runs.iter().filter(|last| last.began);
+        let saves = began.map(|last| (last.run, last.save.clone())).collect();
         let agent = self.agent_of(state, life);
         let blame = match tried {
             Some(tried) if tried.why == why => tried.blame.clone(),
@@ -158,12 +161,13 @@
                 let unsent = row.unsent && end.is_some();
                 let lived_ms = (!unsent).then_some(row.lived_ms.into());
                 let met = row.met && end.is_some();
-                Last { run, lived_ms, told: true, met, save: row.save.clone() }
+                let began = !row.unlisted || row.lived_ms > 0;
+                Last { run, lived_ms, told: true, met, began, save: row.save.clone() }
             }
             // An agent that told of the end and not of the run never had the order to start it.
             None => {
                 let lived_ms = end.is_none().then_some(0);
-                Last { run, lived_ms, told: false, met: false, save: String::new() }
+                Last { run, lived_ms, told: false, met: false, began: false, save: String::new() }
             }
         };
         state.placed(life).map(last).collect()
--- a/crates/pond-job/src/lead/mod.rs
+++ b/crates/pond-job/src/lead/mod.rs
@@ -261,9 +261,13 @@
         }
     }
 
-    /// How many jobs of a queue wait with no task begun.
+    /// How many jobs of a queue wait with no task begun. What was given to a worker waits until it is listed there:
+    /// another task may have taken the worker down in the same moment. On a worker that has not
+    /// reported since this replica leads it counts as begun, as most has.
     pub fn waiting(&self, state: &State, queue: &str) -> u64 {
-        state.waiting(queue)
+        state.waiting(queue, |run, life| {
+            self.workers.get(life).is_none_or(|worker| worker.has_listed(run))
+        })
     }
 
     /// A start proposal could not be made.
--- a/crates/pond-job/src/state/mod.rs
+++ b/crates/pond-job/src/state/mod.rs
@@ -122,12 +122,14 @@
         &self.lesson
     }
 
-    /// How many jobs of a queue wait with no task begun. Repeated jobs do not count.
-    pub fn waiting(&self, queue: &str) -> u64 {
-        let waits = |job: &&Job| {
-            job.queue == queue && job.phase == Phase::Queued && job.spec.repeat.is_none()
+    /// How many jobs of a queue wait with no task begun, where `begun` tells whether a run has on the life on
+    /// which it has its place. Repeated jobs do not count.
+    pub fn waiting(&self, queue: &str, begun: impl Fn(RunName, &str) -> bool) -> u64 {
+        let waits = |(id, job): &(u64, &Job)| {
+            let counts = job.queue == queue && !job.phase.ended() && job.spec.repeat.is_none();
+            counts && !job.begun && !job.places(*id).any(|(run, life)| begun(run, life))
         };
-        self.active().map(|(_, job)| job).filter(waits).count() as u64
+        self.active().filter(waits).count() as u64
     }
 
     /// As bytes for a snapshot.
@@ -204,6 +206,7 @@
             times: vec![steps; times],
             open,
             placed: 0,
+            begun: false,
         };
         self.jobs.insert(id, job);
         self.active.insert(id);
--- a/crates/pond-job/src/state/runs.rs
+++ b/crates/pond-job/src/state/runs.rs
@@ -75,6 +75,7 @@
 
     fn end_one(&mut self, run: RunName, how: How, save: String) {
         let Some(job) = self.jobs.get_mut(&run.task.job) else { return };
+        job.begun = true;
         let attempts = job.attempts;
         let Some(step) = job.step(run.task) else { return };
         let (lasting, gang) = (step.lasting, step.gang);
@@ -170,9 +171,10 @@
         over: bool,
     ) -> Reply {
         for (run, save) in saves {
-            let job = self.jobs.get_mut(&run.task.job);
-            let task = job.and_then(|job| job.task_mut(run.task));
-            if let Some(task) = task.filter(|task| task.run == run.number && !save.is_empty()) {
+            let Some(job) = self.jobs.get_mut(&run.task.job) else { continue };
+            job.begun = true;
+            let task = job.task_mut(run.task).filter(|task| task.run == run.number);
+            if let Some(task) = task.filter(|_| !save.is_empty()) {
                 task.save = save;
             }
         }
--- a/crates/pond-job/tests/state.rs
+++ b/crates/pond-job/tests/state.rs
@@ -203,9 +203,10 @@
 #[test]
 fn waiting_jobs_are_counted_until_their_first_start() {
     let mut state = state(vec![step(1, 100)]);
-    assert_eq!(state.waiting("quick"), 1);
+    let waiting = |state: &State| state.waiting("quick", |_, _| true);
+    assert_eq!(waiting(&state), 1);
     start(&mut state, run(0, 0, 1), "a");
-    assert_eq!(state.waiting("quick"), 0);
+    assert_eq!(waiting(&state), 0);
 }
 
 #[test]
--- a/crates/pond-replica/src/asks.rs
+++ b/crates/pond-replica/src/asks.rs
@@ -1,6 +1,6 @@
 //! Requests of callers and operators.
 
-use pond_job::{Change, Reply, State};
+use pond_job::{Change, Leader, Reply, State};
 use pond_link::LinkKey;
 use pond_log::event;
 use pond_proto::Millis;
@@ -56,7 +56,9 @@
     fn waiting_jobs(&self, target: &Target) -> u64 {
         let configuration = self.state.configuration();
         let queue = configuration.and_then(|held| held.queue_for(&target.host, &target.path));
-        queue.map_or(0, |queue| self.state.waiting(&queue.name))
+        let waiting =
+            |leader: &Leader| queue.map_or(0, |queue| leader.waiting(&self.state, &queue.name));
+        self.leader.as_ref().map_or(0, waiting)
     }
 
     fn submit(&mut self, now: Millis, link: LinkKey, ticket: u64, target: Target, submit: Submit) {
