The probability of a cause has its name everywhere; idle lives are counted once

What the losses say of a task was called odds in one place and likely in another, beside a count of that name; it is a probability, and its module is `cause`.

--- a/crates/pond-job/src/lead/blame.rs
+++ b/crates/pond-job/src/lead/blame.rs
@@ -6,8 +6,8 @@
 use pond_proto::job::RunName;
 use pond_proto::{Millis, Span};
 
+use super::cause::{self, Causes, Rate};
 use super::ends::Last;
-use super::odds::{self, Causes, Rate};
 use super::plan::KNOWN_MS;
 use super::{Leader, Lost, Output, PROPOSE_AGAIN_MS};
 use crate::change::Change;
@@ -134,7 +134,11 @@
             let (run, lived_ms) = (last.run, *lived_ms);
             let begun = just_begun(state, run, lived_ms);
             let blame = Blame::new(run, case.verdict(run, begun)?, lived_ms);
-            Some(if begun { blame.with_likely(causes.after(odds_of(state, run))) } else { blame })
+            Some(if begun {
+                blame.with_probability(causes.after(probability_of(state, run)))
+            } else {
+                blame
+            })
         };
         case.there.iter().filter_map(blame).collect()
     }
@@ -148,7 +152,7 @@
             false => Causes::unclear(),
         };
         for (last, _) in begun() {
-            causes.add(last.run.task.job, odds_of(state, last.run));
+            causes.add(last.run.task.job, probability_of(state, last.run));
         }
         causes
     }
@@ -162,7 +166,7 @@
     ) -> f64 {
         let window = |(last, _): &(&Last, Span)| {
             let clears_ms = state.suspicion(last.run).map(Suspicion::clears_at_ms);
-            odds::window_ms(last.met, clears_ms.unwrap_or(SURVIVED_MS))
+            cause::window_ms(last.met, clears_ms.unwrap_or(SURVIVED_MS))
         };
         let window_ms = begun.map(window).max().unwrap_or(SURVIVED_MS);
         self.losses.rate.within(window_ms, self.workers.len(), now.since(self.since))
@@ -224,8 +228,8 @@
 }
 
 /// How likely the task of a run takes down its workers, as far as its losses tell.
-fn odds_of(state: &State, run: RunName) -> Option<f64> {
-    state.suspicion(run)?.odds
+fn probability_of(state: &State, run: RunName) -> Option<f64> {
+    state.suspicion(run)?.probability
 }
 
 /// Whether a run with which its worker had lived on for so long may have taken it down: it had just begun, or
--- a/crates/pond-job/src/lead/ends.rs
+++ b/crates/pond-job/src/lead/ends.rs
@@ -63,13 +63,13 @@
     pub(super) fn over(&mut self, state: &State, now: Millis, life: &str, end: Option<&Report>) {
         let left = end.is_some_and(|end| end.left)
             || self.workers.get(life).is_some_and(|worker| worker.draining);
-        let idle = state.placed(life).next().is_none();
-        if !idle || state.settled(life) > 0 {
+        let logged = state.placed(life).next().is_some() || state.settled(life) > 0;
+        if logged {
             let why = if left { Lost::Left } else { Lost::Crashed };
             self.propose_lost(state, now, life, why, end);
         }
         let known = self.workers.remove(life).is_some();
-        if known && idle && !left {
+        if known && !logged && !left {
             self.losses.note_idle();
         }
     }
--- a/crates/pond-job/src/suspicion.rs
+++ b/crates/pond-job/src/suspicion.rs
@@ -1,8 +1,9 @@
 //! What is remembered of the workers that were lost under a task, for as long as the task lives.
 //!
 //! A worker that crashes takes all its runs along and tells nothing, so whoever ran there may be the cause.
-//! A task is given up only for losses at which nothing else can have been the cause; until then it is a
-//! suspect, which is started apart from other work. A run that lives on clears its task.
+//! A task is given up once its losses leave next to no other cause, and after five starts in which it never lived
+//! on, whatever is known of them; until then it is a suspect, which is started apart from other work. A run
+//! that lives on or is done clears its task.
 
 use pond_proto::Span;
 use pond_proto::job::RunName;
@@ -72,18 +73,18 @@
     /// How likely the task takes down its workers, with this loss, from 0 to 1; none if the loss tells nothing of
     /// it. (Entries of earlier versions have none.)
     #[serde(default)]
-    pub likely: Option<f64>,
+    pub probability: Option<f64>,
 }
 
 impl Blame {
     /// The loss of a run with which its worker had lived on for so long, in milliseconds.
     pub fn new(run: RunName, verdict: Verdict, lived_ms: Span) -> Blame {
-        Blame { run, verdict, lived_ms, likely: None }
+        Blame { run, verdict, lived_ms, probability: None }
     }
 
-    /// With it the task takes down its workers that likely, from 0 to 1.
-    pub fn with_likely(mut self, likely: f64) -> Blame {
-        self.likely = Some(likely);
+    /// With this loss the task takes down its workers so likely, from 0 to 1.
+    pub fn with_probability(mut self, probability: f64) -> Blame {
+        self.probability = Some(probability);
         self
     }
 
@@ -119,7 +120,7 @@
     pub begun: u32,
     /// How likely it takes down its workers, from 0 to 1; none before a loss told of it.
     #[serde(default)]
-    pub odds: Option<f64>,
+    pub probability: Option<f64>,
 }
 
 impl Suspicion {
@@ -129,7 +130,7 @@
         self.likely += u32::from(blame.verdict != Verdict::Beside);
         self.proven += u32::from(blame.verdict == Verdict::Proven);
         self.begun += u32::from(blame.just_begun());
-        self.odds = blame.likely.or(self.odds);
+        self.probability = blame.probability.or(self.probability);
         self.suspect |= blame.verdict != Verdict::Beside || self.losses >= BESIDE;
         self.lived_ms = self.lived_ms.max(blame.lived_ms);
         self.agents.push(agent.to_owned());
@@ -150,7 +151,8 @@
     pub fn convicts(&self) -> bool {
         let proven = self.proven >= PROVEN && self.losses >= LOSSES_WITH_PROOFS;
         let likely = self.proven > 0 || self.likely >= LIKELY;
-        let certain = self.losses >= FEWEST && self.odds.is_some_and(|odds| odds >= CERTAIN);
+        let certain =
+            self.losses >= FEWEST && self.probability.is_some_and(|likely| likely >= CERTAIN);
         certain || proven || (self.losses >= LOSSES && likely) || self.begun >= LOSSES
     }
 
--- a/crates/pond-job/tests/suspects.rs
+++ b/crates/pond-job/tests/suspects.rs
@@ -179,8 +179,8 @@
     let falls: Vec<u64> = falls.map(|at| at.0).collect();
     let blames = world.watch.blames.iter().filter(|(_, blame)| blame.run.task == *task);
     let line = |(at, blame): &(Millis, Blame)| {
-        let Blame { run, verdict, lived_ms, likely } = blame;
-        let likely = likely.unwrap_or(0.0);
+        let Blame { run, verdict, lived_ms, probability } = blame;
+        let likely = probability.unwrap_or(0.0);
         format!("{} #{} {verdict:?} {lived_ms} {likely:.4}", at.0, run.number)
     };
     let blames: Vec<String> = blames.map(line).collect();
--- a/crates/pond-job/tests/suspicion.rs
+++ b/crates/pond-job/tests/suspicion.rs
@@ -184,7 +184,7 @@
         lived_ms: 7,
         agents,
         begun: 0,
-        odds: None,
+        probability: None,
     };
     assert_eq!(suspicion, wanted);
 }
--- a/crates/pond-replica/src/audit.rs
+++ b/crates/pond-replica/src/audit.rs
@@ -138,7 +138,7 @@
             event!(self.log, TASK_SUSPECTED, "run" => run.clone(), "worker" => worker.to_owned(),
                 "verdict" => verdict, "lived_ms" => blame.lived_ms, "losses" => held.losses,
                 "likely" => held.likely, "proven" => held.proven, "begun" => held.begun,
-                "odds" => format!("{:.4}", held.odds.unwrap_or(0.0)));
+                "probability" => format!("{:.4}", held.probability.unwrap_or(0.0)));
             if held.convicts() {
                 self.metrics.count("tasks_given_up", 1);
                 event!(self.log, TASK_GIVEN_UP, "run" => run, "worker" => worker.to_owned());
