--- a/crates/pond-job/tests/suspicion.rs
+++ b/crates/pond-job/tests/suspicion.rs
@@ -86,6 +86,24 @@
     assert_eq!(phase(&state), Phase::Failed);
 }
 
+#[test]
+fn task_is_given_up_for_two_losses_that_are_next_to_certainly_its_doing_and_never_for_one() {
+    let lost = |probabilities: &[f64]| {
+        let mut state = state(vec![step(1, 100)]);
+        for (number, probability) in (1..).zip(probabilities) {
+            start(&mut state, number);
+            let blame = Blame::new(run(number), Verdict::Suspected, 0);
+            let blame = vec![blame.with_probability(*probability)];
+            let worker = format!("life-{number}");
+            state.apply(Change::WorkerLost { worker, saves: vec![], over: true, blame });
+        }
+        phase(&state)
+    };
+    assert_eq!(lost(&[1.0]), Phase::Running);
+    assert_eq!(lost(&[0.6, 0.97]), Phase::Running);
+    assert_eq!(lost(&[0.6, 0.98]), Phase::Failed);
+}
+
 #[test]
 fn lasting_task_is_given_up_as_well() {
     let mut state = state(vec![Step { lasting: true, ..step(1, 100) }]);
