--- a/crates/pond-job/tests/suspects.rs
+++ b/crates/pond-job/tests/suspects.rs
@@ -69,6 +69,13 @@
 /// A seed in which a task took down six workers: three of the losses counted as beside, as others went down, too.
 const BESIDE_SEED: u64 = 385;
 
+/// Seeds in which a bystander was given up, and the same where hardly anything is told of lost workers.
+const BYSTANDER_SEEDS: [u64; 2] = [117, 725];
+const UNSEEN_BYSTANDER_SEED: u64 = 141;
+
+/// Seeds in which a job waited for too long once all was over.
+const WAITING_SEEDS: [u64; 8] = [308, 374, 407, 521, 587, 787, 837, 983];
+
 /// What came of a seed.
 struct Outcome {
     seed: u64,
@@ -278,3 +285,24 @@
     let shown = &broken[..broken.len().min(9)];
     assert!(broken.is_empty(), "{} broken, first {shown:#?}", broken.len());
 }
+
+#[test]
+fn no_bystander_is_given_up_with_the_seeds_in_which_one_was() {
+    let mut outcomes = Vec::from(BYSTANDER_SEEDS.map(play));
+    outcomes.push(play_unseen(UNSEEN_BYSTANDER_SEED));
+    let innocent: Vec<(u64, &Vec<TaskName>)> = outcomes
+        .iter()
+        .filter(|outcome| !outcome.innocent.is_empty())
+        .map(|outcome| (outcome.seed, &outcome.innocent))
+        .collect();
+    assert!(innocent.is_empty(), "given up for others, by seed: {innocent:?}");
+}
+
+#[test]
+fn nothing_waits_for_long_with_the_seeds_in_which_something_did() {
+    let outcomes = WAITING_SEEDS.map(play);
+    let waits = |outcome: &Outcome| (outcome.seed, outcome.waits.clone());
+    let red: Vec<(u64, Vec<String>)> =
+        outcomes.iter().map(waits).filter(|(_, waits)| !waits.is_empty()).collect();
+    assert!(red.is_empty(), "waits beyond {WAIT_BOUND_MS} ms: {red:#?}");
+}
