--- a/crates/pond-job/src/suspicion.rs
+++ b/crates/pond-job/src/suspicion.rs
@@ -33,8 +33,8 @@
 /// A task is given up for no fewer losses, however likely it is.
 const FEWEST: u32 = 2;
 
-/// A task is given up that takes down its workers this likely, from 0 to 1. A bystander that is given up costs its
-/// caller the whole job, one more worker that goes down costs some fifty callers a run each: so at fifty to one.
+/// A task is given up that takes down its workers this likely, from 0 to 1: a bystander that is given up, which costs
+/// its caller the whole job, is taken for as bad as fifty workers more that go down.
 const CERTAIN: f64 = 0.98;
 
 /// With so many losses a task is given up for one proof, or if it was likely the cause of most of them, or if it
