Agents log ends that are dropped as settled, runs that vanish and what of a registration does not fit

What the logs could not tell for work done twice on workers that start again under their id: that an end was dropped because its number counts as settled (626, only if its run was there, so overlapping lists say nothing), that a run left the lists without an end (627), and why a registration was refused (614 now has the mismatch, its number and clock). No change in what agents do; tests of the agent pass.

--- a/crates/pond-agent/src/agent.rs
+++ b/crates/pond-agent/src/agent.rs
@@ -12,7 +12,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant as Timer, sleep_until};
 
-use crate::core::{Core, Output, Registration};
+use crate::core::{Core, Observation, Output, Registration};
 use crate::worker::{Answer, Call, Reply, Worker};
 
 /// Inputs that may wait for the core: one worker gives a few a second, and one for each call.
@@ -144,9 +144,11 @@
     }
 
     fn registered(&mut self, now: Millis, registration: Registration) {
-        if self.core.foreign(now, &registration) {
+        if let Some(mismatch) = self.core.mismatch(now, &registration) {
             event!(self.log, CALL_FAILED, "worker" => registration.life.clone(),
-                "why" => "a registration of this life that is not its own");
+                "why" => "a registration of this life that is not its own",
+                "mismatch" => format!("{mismatch:?}"), "sequence" => registration.sequence,
+                "clock_ms" => registration.clock_ms);
         } else if self.core.news_in(&registration) {
             event!(self.log, WORKER_REGISTERED, "worker" => registration.life.clone(),
                 "draining" => registration.draining, "sequence" => registration.sequence);
@@ -183,6 +185,20 @@
                 Output::Call { address, life, token, look, call } => {
                     self.call(address, life, token, look, call);
                 }
+                Output::Observed(observation) => self.log_observation(observation),
+            }
+        }
+    }
+
+    fn log_observation(&self, observation: Observation) {
+        match observation {
+            Observation::EndRepeated { life, run, number, settled } => {
+                event!(self.log, END_REPEATED, "worker" => life, "run" => run.to_string(),
+                    "number" => number, "settled" => settled);
+            }
+            Observation::RunVanished { life, run, settled } => {
+                event!(self.log, RUN_VANISHED, "worker" => life, "run" => run.to_string(),
+                    "settled" => settled);
             }
         }
     }
--- a/crates/pond-agent/src/core/answers.rs
+++ b/crates/pond-agent/src/core/answers.rs
@@ -2,11 +2,11 @@
 
 use std::collections::BTreeSet;
 
-use pond_proto::fleet::RunRow;
+use pond_proto::fleet::{EndRow, RunRow};
 use pond_proto::job::RunName;
 use pond_proto::{Millis, Span};
 
-use super::Core;
+use super::{Core, Observation, Output};
 use crate::run::{Phase, Run};
 use crate::worker::{Answer, Call, Refusal, Reply};
 
@@ -167,7 +167,9 @@
         self.listed = now;
         self.answered = true;
         for end in ends {
-            if end.number > self.settled && !self.ends.contains_key(&end.number) {
+            if end.number <= self.settled {
+                self.note_repeated(&end);
+            } else if !self.ends.contains_key(&end.number) {
                 self.runs.remove(&end.run);
                 self.ends.insert(end.number, end);
                 self.news = true;
@@ -182,6 +184,15 @@
         self.look_due = now + wait;
     }
 
+    /// Lists overlap, so settled ends come again; the run of such an end is known no more.
+    fn note_repeated(&mut self, end: &EndRow) {
+        let Some(life) = self.life().filter(|_| self.runs.contains_key(&end.run)) else { return };
+        let (life, run, number) = (life.to_owned(), end.run, end.number);
+        let settled = self.settled;
+        let observation = Observation::EndRepeated { life, run, number, settled };
+        self.outputs.push(Output::Observed(observation));
+    }
+
     /// A list may be older than an answer to a start, so it only adds. A run that is not known is
     /// told at once: nobody may want it any more, and only control can tell. (The next report would
     /// come up to 0.9 s later.)
@@ -219,8 +230,17 @@
     /// if none is left to settle. A late list brings such a run back, and it would be reported for
     /// ever.
     fn drop_vanished(&mut self, look: u64) {
-        if self.ends.is_empty() {
-            self.runs.retain(|_, run| run.seen.is_none_or(|before| before >= look));
+        if !self.ends.is_empty() {
+            return;
+        }
+        let vanished = |_: &RunName, run: &mut Run| run.seen.is_some_and(|before| before < look);
+        let vanished: Vec<RunName> =
+            self.runs.extract_if(.., vanished).map(|(run, _)| run).collect();
+        let settled = self.settled;
+        for run in vanished {
+            let life = self.life().unwrap_or_default().to_owned();
+            let observation = Observation::RunVanished { life, run, settled };
+            self.outputs.push(Output::Observed(observation));
         }
     }
 
--- a/crates/pond-agent/src/core/mod.rs
+++ b/crates/pond-agent/src/core/mod.rs
@@ -60,6 +60,19 @@
     pub sequence: u64,
 }
 
+/// What of a registration does not fit the life that it names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mismatch {
+    /// Another pool.
+    Pool,
+    /// Another address.
+    Address,
+    /// A clock that is too far ahead.
+    Clock,
+    /// A number that is too far ahead.
+    Sequence,
+}
+
 /// What the shell does for the core.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Output {
@@ -78,6 +91,33 @@
     },
     /// Send this to the leader.
     Report(Report),
+    /// Write this to the log.
+    Observed(Observation),
+}
+
+/// Something that an operator may want to know of, and that is not in calls or reports.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Observation {
+    /// An end was dropped, as its number counts as settled, though its run was there.
+    EndRepeated {
+        /// The life.
+        life: String,
+        /// The run.
+        run: RunName,
+        /// The number of the end.
+        number: u64,
+        /// Ends up to this number are settled.
+        settled: u64,
+    },
+    /// A run that was listed is on no list any more, and no end of it is left to settle.
+    RunVanished {
+        /// The life.
+        life: String,
+        /// The run.
+        run: RunName,
+        /// Ends up to this number are settled.
+        settled: u64,
+    },
 }
 
 /// A life that is over, and what is known of its end.
@@ -156,22 +196,27 @@
         })
     }
 
-    /// Whether a registration that names the known life cannot be its own: a life has one pool and one
-    /// address, its clock goes about as fast as the agent's, and it counts its registrations.
-    pub fn foreign(&self, now: Millis, registration: &Registration) -> bool {
-        let known = self.worker.as_ref().filter(|known| known.life == registration.life);
-        known.is_some_and(|known| {
-            let ahead_ms = registration.clock_ms.saturating_sub(self.clock_ms);
-            known.pool != registration.pool
-                || known.address != registration.address
-                || ahead_ms > now.since(self.clocked) + CLOCK_SLACK_MS
-                || registration.sequence.saturating_sub(known.sequence) > MOST_MISSED
-        })
+    /// Why a registration that names the known life cannot be its own: a life has one pool and one address, its
+    /// clock goes about as fast as the agent's, and it counts its registrations.
+    pub fn mismatch(&self, now: Millis, registration: &Registration) -> Option<Mismatch> {
+        let known = self.worker.as_ref().filter(|known| known.life == registration.life)?;
+        let ahead_ms = registration.clock_ms.saturating_sub(self.clock_ms);
+        if known.pool != registration.pool {
+            Some(Mismatch::Pool)
+        } else if known.address != registration.address {
+            Some(Mismatch::Address)
+        } else if ahead_ms > now.since(self.clocked) + CLOCK_SLACK_MS {
+            Some(Mismatch::Clock)
+        } else if registration.sequence.saturating_sub(known.sequence) > MOST_MISSED {
+            Some(Mismatch::Sequence)
+        } else {
+            None
+        }
     }
 
     /// The worker says something of itself. From a draining worker's on, nothing is started.
     pub fn registered(&mut self, now: Millis, registration: Registration) {
-        if self.over.contains(&registration.life) || self.foreign(now, &registration) {
+        if self.over.contains(&registration.life) || self.mismatch(now, &registration).is_some() {
             return;
         }
         let known = self.worker.as_ref().filter(|worker| worker.life == registration.life);
--- a/crates/pond-agent/tests/late.rs
+++ b/crates/pond-agent/tests/late.rs
@@ -183,6 +183,7 @@
             match output {
                 Output::Call { token, look, call, .. } => self.call(token, look, call),
                 Output::Report(report) => self.reports.push((self.now, report)),
+                Output::Observed(_) => {}
             }
         }
     }
--- a/crates/pond-agent/tests/support/mod.rs
+++ b/crates/pond-agent/tests/support/mod.rs
@@ -1,7 +1,7 @@
 //! An agent's core whose worker answers as the test says.
 #![allow(dead_code)]
 
-use pond_agent::{Answer, Call, Core, Output, Registration, Reply};
+use pond_agent::{Answer, Call, Core, Observation, Output, Registration, Reply};
 use pond_proto::fleet::{EndRow, Order, Report, RunRow, StartOrder, Watch};
 use pond_proto::job::{How, RunName, TaskName};
 use pond_proto::{Millis, Size};
@@ -22,6 +22,7 @@
     /// Token of the last call.
     pub token: u64,
     pub reports: Vec<Report>,
+    pub observed: Vec<Observation>,
 }
 
 impl Bench {
@@ -34,6 +35,7 @@
             claims: vec![],
             token: 0,
             reports: vec![],
+            observed: vec![],
         }
     }
 
@@ -76,6 +78,7 @@
                     self.calls.push((look, call));
                 }
                 Output::Report(report) => self.reports.push(report),
+                Output::Observed(observation) => self.observed.push(observation),
             }
         }
     }
--- a/crates/pond-job/tests/world/machine.rs
+++ b/crates/pond-job/tests/world/machine.rs
@@ -135,6 +135,7 @@
         for output in self.agent.tick(now) {
             match output {
                 Output::Report(report) => reports.push(report),
+                Output::Observed(_) => {}
                 Output::Call { life, token, look, call, .. } => {
                     self.call(now, book, life, token, look, call);
                 }
--- a/crates/pond-log/src/events.rs
+++ b/crates/pond-log/src/events.rs
@@ -174,6 +174,11 @@
     TASK_GIVEN_UP = 624, Error, "a task is given up as its workers go down; its job has failed",
         "look at the task's program; 623 names the workers that went down with it";
     TASK_CLEARED = 625, Info, "a task that was there when workers went down has survived", "nothing";
+    END_REPEATED = 626, Warning,
+        "an end is dropped: its number counts as settled, though its run was there",
+        "compare the worker's ends with `settled` in 612: both must be of one start of the worker";
+    RUN_VANISHED = 627, Info, "a run that was listed is on no list any more and counts as ended",
+        "nothing if 606 tells of its end; else see 626";
     ADVISED = 619, Info, "the adviser said which workers may run a step", "nothing";
 }
 
