A worker's start is its id and the time of its start

Callers saw tasks run again after they were done, and one attempt too many, on workers that had started again under the id that they had. Such a worker counts its ends from one; agent, leader and log keyed what is settled by the id alone, so the first ends of the new start counted as settled ones of the former: dropped, forgotten by the worker, their runs placed again.

Now the id and the time of the start make the name of a life where bytes become messages. What is kept by life in agent, leader and log needs no change. Calls name the id alone, and lists tell whose they are: a list of another start ends the former life at the agent.

--- a/crates/pond-agent/src/agent.rs
+++ b/crates/pond-agent/src/agent.rs
@@ -41,9 +41,9 @@
         self.inputs.send(Input::Registered(registration)).await.is_ok()
     }
 
-    /// The worker says that a life of it is over. False if the agent has stopped.
-    pub async fn leaves(&self, life: String) -> bool {
-        self.inputs.send(Input::Leaves(life)).await.is_ok()
+    /// The worker of that id says that its life is over. False if the agent has stopped.
+    pub async fn leaves(&self, id: String) -> bool {
+        self.inputs.send(Input::Leaves(id)).await.is_ok()
     }
 
     /// Further addresses of control replicas.
@@ -131,9 +131,9 @@
         let now = self.now();
         match input {
             Input::Registered(registration) => self.registered(now, registration),
-            Input::Leaves(life) => {
-                event!(self.log, WORKER_LOST, "worker" => life.clone(), "why" => "it left");
-                self.core.leaves(now, &life);
+            Input::Leaves(id) => {
+                event!(self.log, WORKER_LOST, "worker" => id.clone(), "why" => "it left");
+                self.core.leaves(now, &id);
             }
             Input::Answered { life, token, look, call, answer } => {
                 self.log_answer(&life, &call, &answer);
--- a/crates/pond-agent/src/core/mod.rs
+++ b/crates/pond-agent/src/core/mod.rs
@@ -38,6 +38,8 @@
 /// What a worker says of itself.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Registration {
+    /// The worker. A later life of it may have the same id, and calls name the id alone.
+    pub id: String,
     /// This life of it.
     pub life: String,
     /// Where it takes calls.
@@ -284,10 +286,10 @@
         self.term > self.fenced
     }
 
-    /// The worker says that this life of it is over.
-    pub fn leaves(&mut self, now: Millis, life: &str) {
-        self.claims.retain(|claim| !claim.is_of(life));
-        if self.life() == Some(life) {
+    /// The worker of that id says that its life is over.
+    pub fn leaves(&mut self, now: Millis, id: &str) {
+        self.claims.retain(|claim| !claim.is_by(id));
+        if self.worker.as_ref().is_some_and(|worker| worker.id == id) {
             if let Some(worker) = &mut self.worker {
                 worker.draining = true;
             }
--- a/crates/pond-agent/tests/core.rs
+++ b/crates/pond-agent/tests/core.rs
@@ -356,6 +356,7 @@
 fn registration_that_names_another_pool_or_address_changes_nothing_of_a_life() {
     let strange = |change: fn(&mut Registration)| {
         let mut registration = Registration {
+            id: LIFE.to_owned(),
             life: LIFE.to_owned(),
             address: "127.0.0.1:1".to_owned(),
             room: Size::new(4_000, 1_000, 0),
@@ -381,6 +382,7 @@
     let mut bench = Bench::new();
     bench.pass(900);
     let registration = Registration {
+        id: LIFE.to_owned(),
         life: LIFE.to_owned(),
         address: "127.0.0.1:1".to_owned(),
         room: Size::new(1_000, 1_000, 0),
@@ -399,6 +401,7 @@
     for (clock_ms, sequence) in [(u64::MAX, 2), (50_000 + 3_600_000, 2), (51_000, u64::MAX)] {
         let mut bench = Bench::new();
         let far = Registration {
+            id: LIFE.to_owned(),
             life: LIFE.to_owned(),
             address: "127.0.0.1:1".to_owned(),
             room: Size::new(4_000, 1_000, 0),
--- a/crates/pond-agent/tests/late.rs
+++ b/crates/pond-agent/tests/late.rs
@@ -157,6 +157,7 @@
 
     fn register(&mut self, sequence: u64) {
         let registration = Registration {
+            id: LIFE.to_owned(),
             life: LIFE.to_owned(),
             address: "127.0.0.1:1".to_owned(),
             room: Size::new(4_000, 1_000, 0),
--- a/crates/pond-agent/tests/support/mod.rs
+++ b/crates/pond-agent/tests/support/mod.rs
@@ -55,6 +55,7 @@
     /// A registration comes.
     pub fn claim(&mut self, life: &str, draining: bool, sequence: u64) {
         let registration = Registration {
+            id: life.to_owned(),
             life: life.to_owned(),
             address: "127.0.0.1:1".to_owned(),
             room: Size::new(4_000, 1_000, 0),
--- a/crates/pond-agent/tests/unstarted.rs
+++ b/crates/pond-agent/tests/unstarted.rs
@@ -109,6 +109,7 @@
     /// The worker registers again, with a clock that goes on.
     fn register_again(&mut self) {
         let registration = Registration {
+            id: LIFE.to_owned(),
             life: LIFE.to_owned(),
             address: "127.0.0.1:1".to_owned(),
             room: Size::new(4_000, 1_000, 0),
--- a/crates/pond-job/tests/world/machine.rs
+++ b/crates/pond-job/tests/world/machine.rs
@@ -152,6 +152,7 @@
         self.registered = now;
         self.sequence += 1;
         let registration = Registration {
+            id: worker.life.clone(),
             life: worker.life.clone(),
             address: self.name.clone(),
             pool: "vms".to_owned(),
