Waits count only where no worker has gone down for four seconds

Traced in one more such history: the start of a job was confirmed, its worker went down 50 ms later under another task and was back after 3.7 s; nobody can know before the worker answers again or its lease is over. What users allow is stated: 3 s without a run count where these and the 4 s before are calm, and a worker that goes down is no calm.

Ruled out: a start that the leader held back (it was ordered and confirmed at once).

--- a/crates/pond-job/tests/world/mod.rs
+++ b/crates/pond-job/tests/world/mod.rs
@@ -213,6 +213,7 @@
     fn note_fallen(&mut self, i: usize) {
         let Some(task) = self.machines[i].fallen.take() else { return };
         self.watch.fallen.entry(task).or_default().push(self.now);
+        self.watch.disturbed = self.now;
         let down_ms = match self.unseen {
             true => self.rng.random_range(200..12_000),
             false => self.rng.random_range(1_400..3_500),
