Calls that reach a later start of the worker neither run a task twice nor lose its end

Callers' tasks ran on two workers at the same time, or again after they were done, when a start was on its way while its worker went down and started again under its id. Calls name the id alone, so the next start of the worker carried it out; the leader was told that the former was over and placed the task elsewhere. An acknowledgement of the former's ends made the next one forget ends that nobody had read.

Change, in the agent: (1) a start that may have reached a later life with the same id is stopped there, and the former life is reported as over only once it runs nowhere and its end, if it has one, is settled; (2) ends are acknowledged once, in a list of their own, while no start is on its way, and starts wait for its answer; (3) after a call without an answer, or an answer whose clock has fallen, nothing is started or acknowledged until a list of the same life; (4) only a list makes a registered life the worker. Another worker at the address (421) ends a life at once, as before.

Ruled out: acknowledging only shortly after a list, which hangs on how fast a worker can start again.

Tests of the agent that asked a start again without a list in between, or acknowledged with each list, ask for the new order, as strictly.

--- a/crates/pond-agent/src/core/answers.rs
+++ b/crates/pond-agent/src/core/answers.rs
@@ -31,6 +31,10 @@
 /// places the runs elsewhere.
 const UNREAD_MS: Span = 6_000;
 
+/// A worker's answers overtake each other by less than this on its clock, in milliseconds. A clock that has fallen by
+/// more is that of a worker that has started again.
+const CLOCK_BACK_MS: u64 = 500;
+
 /// Time before the next list while ends wait to be settled, in milliseconds: they would make the
 /// worker answer at once. It is about the time of a commit.
 const UNSETTLED_WAIT_MS: Span = 60;
@@ -53,12 +57,18 @@
         if self.life() != Some(life) {
             return self.claim_answer(now, life, look, answer);
         }
-        if answer.reply == Reply::OtherLife {
-            self.new_life(now, "");
-            return;
+        match answer.reply {
+            Reply::OtherLife => return self.other_worker(now),
+            Reply::Restarted => return self.new_life(now, ""),
+            _ => {}
         }
         self.note_alive(now, &answer.reply);
-        self.note_clock(now, answer.clock_ms.unwrap_or(0));
+        let clock_ms = answer.clock_ms.unwrap_or(0);
+        let failed = matches!(answer.reply, Reply::Unknown | Reply::NotSent);
+        if failed || (clock_ms > 0 && clock_ms + CLOCK_BACK_MS < self.clock_ms) {
+            self.doubt(call);
+        }
+        self.note_clock(now, clock_ms);
         match call {
             Call::Start { run, .. } => self.start_answer(now, *run, &answer.reply),
             Call::Stop { run } => self.stop_answer(now, *run, &answer.reply),
@@ -86,6 +96,16 @@
         }
     }
 
+    /// The worker may be down, or have started again under its id: nothing is started or acknowledged until a list that
+    /// is asked for from now on is from the same life.
+    fn doubt(&mut self, call: &Call) {
+        self.doubted = Some(self.looks);
+        // A list that failed is asked for again in any case, less and less often.
+        if !matches!(call, Call::Look { .. }) && self.checking.is_none() {
+            self.checking = Some(self.look(0));
+        }
+    }
+
     /// A start that is surely not carried out, or was tried often enough, becomes a stop.
     fn start_answer(&mut self, now: Millis, name: RunName, reply: &Reply) {
         let Some(run) = self.runs.get_mut(&name).filter(|run| !run.stops()) else { return };
@@ -153,6 +173,13 @@
         if self.looking == Some(look) {
             self.looking = None;
         }
+        if self.checking == Some(look) {
+            self.checking = None;
+        }
+        let acknowledged = self.acknowledging.filter(|(carrier, _)| *carrier == look);
+        if acknowledged.is_some() {
+            self.acknowledging = None;
+        }
         let lives = !matches!(answer.reply, Reply::Unknown | Reply::NotSent);
         for run in self.runs.values_mut().filter(|run| lives && run.awaits == Some(look)) {
             run.awaits = None;
@@ -166,6 +193,8 @@
         self.look_fails = 0;
         self.listed = now;
         self.answered = true;
+        self.doubted = self.doubted.filter(|doubted| look <= *doubted);
+        self.acknowledged = acknowledged.map_or(self.acknowledged, |(_, settled)| settled);
         for end in ends {
             if end.number <= self.settled {
                 self.note_repeated(&end);
@@ -179,8 +208,10 @@
         self.take_rows(now, look, runs);
         self.find_unstarted(look, &listed);
         self.drop_vanished(look);
+        self.settle_doubts();
         self.pace(now);
-        let wait = if self.ends.is_empty() { 0 } else { UNSETTLED_WAIT_MS };
+        let quiet = self.ends.is_empty() && self.settled == self.acknowledged;
+        let wait = if quiet { 0 } else { UNSETTLED_WAIT_MS };
         self.look_due = now + wait;
     }
 
--- a/crates/pond-agent/src/core/claim.rs
+++ b/crates/pond-agent/src/core/claim.rs
@@ -76,10 +76,12 @@
         match answer.reply {
             // Its next registration asks again.
             Reply::Unknown | Reply::NotSent => self.claims[found].asked = false,
-            Reply::OtherLife => {
+            Reply::OtherLife | Reply::Restarted => {
                 self.claims.remove(found);
                 self.remember_over(life.to_owned());
             }
+            // No other answer tells which life of a worker it is from.
+            reply if !matches!(reply, Reply::Listed { .. }) => self.claims[found].asked = false,
             _ => {
                 self.adopt(now, found);
                 // What it answers goes before what a registration said.
@@ -105,5 +107,6 @@
         self.new_life(now, &registration.life);
         self.clock_ms = registration.clock_ms;
         self.worker = Some(registration);
+        self.stop_doubtful(now);
     }
 }
--- a/crates/pond-agent/src/core/due.rs
+++ b/crates/pond-agent/src/core/due.rs
@@ -20,6 +20,14 @@
 /// Time between reports while nothing changes, in milliseconds: the leader counts on one a second.
 const REPORT_MS: Span = 900;
 
+/// An acknowledgement waits this long for a moment in which no start is on its way, in milliseconds; then starts wait for
+/// it. A worker lists five hundred ends at once, so it can wait for some hundred of them.
+const ACKNOWLEDGE_MS: Span = 1_000;
+
+/// Starts wait for an acknowledgement for so long at a time, in milliseconds: a worker that answers has listed all that
+/// it was told to start by then. One that does not must not hold up everything else.
+const YIELD_MS: Span = 200;
+
 /// A worker that has not listed for this long does not answer, in milliseconds: about two lists,
 /// each with its wait of a second and the time for an answer.
 pub(super) const SILENT_MS: Span = 3_500;
@@ -29,6 +37,7 @@
     pub fn tick(&mut self, now: Millis) -> Vec<Output> {
         if self.worker.is_some() {
             if self.may_call() {
+                self.acknowledge();
                 self.call_due(now);
                 self.look_if_due(now);
                 self.look_for_survivors(now);
@@ -42,7 +51,7 @@
 
     fn look_if_due(&mut self, now: Millis) {
         if self.looking.is_none() && now >= self.look_due {
-            let wait = self.wait_ms();
+            let wait = if self.doubted.is_some() { 0 } else { self.wait_ms() };
             self.looking = Some(self.look(wait));
         }
     }
@@ -69,8 +78,10 @@
         if self.looking.is_none() {
             due = due.min(self.look_due);
         }
+        let holds = self.holds_starts(now);
         for run in self.runs.values().filter(|run| !run.calling) {
-            if matches!(run.phase, Phase::Starting { .. } | Phase::Stopping) {
+            let starts = matches!(run.phase, Phase::Starting { .. }) && !holds;
+            if starts || run.phase == Phase::Stopping {
                 due = due.min(run.due);
             }
         }
@@ -91,12 +102,14 @@
     /// Calls the worker about each run that is due and has no call on its way.
     fn call_due(&mut self, now: Millis) {
         let lease_end_ms = self.lease_end_ms;
+        let holds = self.holds_starts(now);
         let mut calls = Vec::new();
         for (name, run) in &mut self.runs {
             if run.calling || now < run.due {
                 continue;
             }
             let call = match &run.phase {
+                Phase::Starting { .. } if holds => continue,
                 Phase::Starting { order, .. } => {
                     run.sent += 1;
                     run.sent_at = now;
@@ -148,14 +161,38 @@
         }
     }
 
-    /// Asks for a list; its number.
+    /// Asks for a list that acknowledges nothing; its number.
     pub(super) fn look(&mut self, wait_ms: Span) -> u64 {
         self.looks += 1;
-        let (lease_end_ms, settled) = (self.lease_end_ms, self.settled);
-        self.call(self.looks, Call::Look { lease_end_ms, settled, wait_ms });
+        let lease_end_ms = self.lease_end_ms;
+        self.call(self.looks, Call::Look { lease_end_ms, settled: 0, wait_ms });
         self.looks
     }
 
+    /// Tells the worker which ends it may forget: once, and only while no start is on its way. A worker may start again
+    /// under its id between two lists and count its ends anew. If it could have been told to start something before
+    /// it gets the acknowledgement, it would forget ends that nobody has read, and their tasks would run again.
+    fn acknowledge(&mut self) {
+        let due = self.settled > self.acknowledged && self.acknowledging.is_none();
+        let starts = || self.runs.values().any(Run::in_flight);
+        if !due || self.doubted.is_some() || starts() {
+            return;
+        }
+        self.looks += 1;
+        let (lease_end_ms, settled) = (self.lease_end_ms, self.settled);
+        self.acknowledging = Some((self.looks, settled));
+        self.call(self.looks, Call::Look { lease_end_ms, settled, wait_ms: 0 });
+    }
+
+    /// Whether nothing may be started now: the worker may have started again, or an acknowledgement is on its way or has
+    /// waited for too long.
+    fn holds_starts(&self, now: Millis) -> bool {
+        let waits = self.settled > self.acknowledged;
+        let waited_ms = now.since(self.unacknowledged);
+        let overdue = waits && waited_ms % (ACKNOWLEDGE_MS + YIELD_MS) >= ACKNOWLEDGE_MS;
+        self.doubted.is_some() || self.acknowledging.is_some() || overdue
+    }
+
     fn call(&mut self, look: u64, call: Call) {
         let Some(worker) = &self.worker else { return };
         let (address, life) = (worker.address.clone(), worker.life.clone());
--- a/crates/pond-agent/src/core/mod.rs
+++ b/crates/pond-agent/src/core/mod.rs
@@ -8,6 +8,7 @@
 mod answers;
 mod claim;
 mod due;
+mod former;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -20,6 +21,7 @@
 use crate::worker::Call;
 
 use claim::Claim;
+use former::Former;
 
 /// Lives that are over and remembered as such, the newest: their registrations may still come late.
 const OVER_KEPT: usize = 16;
@@ -122,23 +124,13 @@
     },
 }
 
-/// A life that is over, and what is known of its end.
-#[derive(Clone, Debug)]
-struct Former {
-    life: String,
-    /// It had said that it would leave.
-    left: bool,
-    /// The runs that it had at last.
-    rows: Vec<RunRow>,
-}
-
 /// The agent's state.
 #[derive(Debug, Default)]
 pub struct Core {
     /// The life of the worker that has answered a call.
     worker: Option<Registration>,
-    /// The life before this one.
-    former: Option<Former>,
+    /// Lives before this one, the newest last.
+    formers: VecDeque<Former>,
     /// Lives that are over.
     over: VecDeque<String>,
     /// Lives that have registered and not answered yet.
@@ -153,7 +145,18 @@
     fenced: u64,
     /// The lease that was granted, on the worker's clock in milliseconds.
     lease_end_ms: u64,
+    /// Ends up to this number are in the log.
     settled: u64,
+    /// Ends up to this number were acknowledged to the worker, which may forget them.
+    acknowledged: u64,
+    /// Number of the list that carries an acknowledgement, and the number of the end up to which it goes.
+    acknowledging: Option<(u64, u64)>,
+    /// Since when an acknowledgement is due.
+    unacknowledged: Millis,
+    /// Lists up to this number prove nothing, as a call after them failed: the worker may have started again.
+    doubted: Option<u64>,
+    /// Number of the list that was asked for because of that.
+    checking: Option<u64>,
     runs: BTreeMap<RunName, Run>,
     ends: BTreeMap<u64, EndRow>,
     unstarted: BTreeSet<RunName>,
@@ -249,17 +252,11 @@
 
     /// Forgets all of the former life; none is known if `life` is empty.
     fn new_life(&mut self, now: Millis, life: &str) {
-        let before = self.worker.take().filter(|before| before.life != life);
-        let before = before.map(|before| Former {
-            life: before.life,
-            left: before.draining,
-            rows: self.rows(),
-        });
-        if let Some(before) = &before {
-            self.remember_over(before.life.clone());
+        if let Some(before) = self.worker.take().filter(|before| before.life != life) {
+            self.keep_former(before);
         }
         *self = Core {
-            former: before.or(self.former.take()),
+            formers: std::mem::take(&mut self.formers),
             over: std::mem::take(&mut self.over),
             claims: std::mem::take(&mut self.claims),
             term: self.term,
@@ -272,7 +269,7 @@
             ..Core::default()
         };
         self.news = true;
-        self.report_former();
+        self.report_formers();
     }
 
     fn remember_over(&mut self, life: String) {
@@ -297,13 +294,6 @@
         }
     }
 
-    /// Tells the leader that nothing of the former life runs any more, and how it ended.
-    fn report_former(&mut self) {
-        let Some(Former { life, left, rows }) = self.former.clone() else { return };
-        let report = Report { worker: life, gone: true, left, runs: rows, ..Report::default() };
-        self.outputs.push(Output::Report(report));
-    }
-
     /// What to report of the runs.
     fn rows(&self) -> Vec<RunRow> {
         self.runs.values().map(|run| run.row(self.alive)).collect()
@@ -313,7 +303,7 @@
     pub fn leader_up(&mut self, term: u64) {
         self.term = self.term.max(term);
         self.news = true;
-        self.report_former();
+        self.report_formers();
         self.ask_claims();
     }
 
@@ -346,8 +336,12 @@
         if settled <= self.settled {
             return;
         }
+        if self.settled == self.acknowledged {
+            self.unacknowledged = now;
+        }
         self.settled = settled;
         self.ends.retain(|number, _| *number > settled);
+        self.settle_doubts();
         if self.ends.is_empty() {
             self.look_due = self.look_due.min(now);
         }
--- a/crates/pond-agent/src/run.rs
+++ b/crates/pond-agent/src/run.rs
@@ -88,6 +88,17 @@
         self.began.get_or_insert(now);
     }
 
+    /// Whether a call to start it may have reached no list of its life, or more than one did: a later life of the worker
+    /// may carry one out.
+    pub fn in_doubt(&self) -> bool {
+        self.sent > 1 || self.in_flight()
+    }
+
+    /// Whether a call to start it was made and no list has shown it yet.
+    pub fn in_flight(&self) -> bool {
+        self.sent > 0 && self.seen.is_none()
+    }
+
     /// When the leader wants to know that the worker has lived on with it; none if that is no news.
     pub fn tell_at(&self) -> Option<Millis> {
         let tell_ms = self.watch.as_ref().map_or(0, |watch| watch.tell_ms);
--- a/crates/pond-agent/src/worker.rs
+++ b/crates/pond-agent/src/worker.rs
@@ -93,8 +93,11 @@
     },
     /// It was refused.
     Refused(Refusal),
-    /// Another life of the worker answered; the one that was meant is over.
+    /// Another worker answered, and did nothing; the life that was meant is over.
     OtherLife,
+    /// A later life of the same worker answered; the one that was meant is over. Calls that were meant for it may have
+    /// been carried out by the later one.
+    Restarted,
     /// There is no answer; it may have been done, or may still be.
     Unknown,
     /// Nothing of the call reached the worker, as nobody takes calls at its address.
--- a/crates/pond-agent/tests/core.rs
+++ b/crates/pond-agent/tests/core.rs
@@ -36,6 +36,9 @@
     bench.start(0);
     bench.answer(is_start, Reply::Unknown);
     bench.pass(300);
+    // Whoever takes calls now may be another start of the worker.
+    assert_eq!(bench.count(is_start), 0);
+    bench.list_all(&[], &[]);
     assert_eq!(bench.count(is_start), 1);
     assert_eq!(bench.count(is_stop), 0);
 }
@@ -46,6 +49,7 @@
     bench.start(0);
     for _ in 0..3 {
         bench.answer(is_start, Reply::Unknown);
+        bench.list_all(&[], &[]);
         bench.pass(2_000);
     }
     assert_eq!(bench.count(is_stop), 1);
@@ -102,9 +106,14 @@
     let mut bench = Bench::new();
     bench.list(&[], &[(1, 0, How::Done), (2, 1, How::Done)]);
     bench.order(Order { settled: 1, ..Order::default() });
-    bench.pass(1_000);
-    let look = bench.calls.iter().rev().find(|(_, call)| is_look(call));
-    assert!(matches!(look, Some((_, Call::Look { settled: 1, .. }))));
+    for _ in 0..5 {
+        bench.pass(1_000);
+    }
+    let acknowledged = bench.calls.iter().filter_map(|(_, call)| match call {
+        Call::Look { settled, .. } if *settled > 0 => Some(*settled),
+        _ => None,
+    });
+    assert_eq!(acknowledged.collect::<Vec<_>>(), [1]);
 }
 
 #[test]
@@ -330,8 +339,10 @@
     bench.list(&[0], &[]);
     bench.start(1);
     bench.answer(is_start, Reply::NotSent);
+    bench.list_all(&[0], &[]);
     bench.start(2);
     bench.answer(is_start, Reply::Unknown);
+    bench.list_all(&[0], &[]);
     bench.start(3);
     bench.answer(is_look, Reply::OtherLife);
     bench.pass(1);
@@ -346,6 +357,8 @@
 fn life_that_left_as_planned_is_told_as_such() {
     let mut bench = Bench::new();
     bench.start(0);
+    bench.answer(is_start, Reply::Done);
+    bench.list(&[0], &[]);
     bench.core.leaves(bench.now, LIFE);
     bench.pass(1);
     assert!(bench.gone().left);
--- a/crates/pond-agent/tests/support/mod.rs
+++ b/crates/pond-agent/tests/support/mod.rs
@@ -164,6 +164,23 @@
         self.answer(is_look, Reply::Listed { runs, ends });
     }
 
+    /// Answers all lists that were asked for, and those that this brings about.
+    pub fn list_all(&mut self, running: &[u32], ended: &[(u64, u32, How)]) {
+        while self.count(is_look) > 0 {
+            self.list(running, ended);
+            if self.count(is_look) == 1 && self.core_waits() {
+                return;
+            }
+        }
+    }
+
+    /// The list that is asked for waits for an end.
+    fn core_waits(&self) -> bool {
+        self.calls
+            .iter()
+            .any(|(_, call)| matches!(call, Call::Look { wait_ms, .. } if *wait_ms > 0))
+    }
+
     pub fn pass(&mut self, ms: u64) {
         self.now = self.now + ms;
         self.tick();
