Ends that an agent has read outlast the loss of their worker

Callers' tasks that were done ran again, and failures did not count, where the agent was cut off between the end of a run and the loss of its worker. The agent had read the end; what it told of the life that was over held its runs only, so the leader took them for lost.

Now it tells the ends as well, and the leader proposes those of runs that have their place there before it proposes the loss: once, as a second time after the loss they would count again (proposals vanish only with their leader, and the next one is told anew). Runs that have ended are not judged as lost with the worker.

--- a/crates/pond-agent/src/core/former.rs
+++ b/crates/pond-agent/src/core/former.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeSet;
 
 use pond_proto::Millis;
-use pond_proto::fleet::{Report, RunRow};
+use pond_proto::fleet::{EndRow, Report, RunRow};
 use pond_proto::job::RunName;
 
 use super::{Core, Output, Registration};
@@ -27,6 +27,8 @@
     left: bool,
     /// The runs that it had at last.
     rows: Vec<RunRow>,
+    /// Its ends that were read and are not known to be in the log: nobody else can tell of them.
+    ends: Vec<EndRow>,
     /// Runs whose start may reach, or have reached, a later life with the same id.
     doubtful: BTreeSet<RunName>,
 }
@@ -38,6 +40,7 @@
             gone: true,
             left: self.left,
             runs: self.rows.clone(),
+            ends: self.ends.clone(),
             ..Report::default()
         })
     }
@@ -50,7 +53,8 @@
         let doubtful = doubtful.collect();
         let Registration { id, life, draining: left, .. } = worker;
         self.remember_over(life.clone());
-        self.formers.push_back(Former { id, life, left, rows: self.rows(), doubtful });
+        let (rows, ends) = (self.rows(), self.ends.values().cloned().collect());
+        self.formers.push_back(Former { id, life, left, rows, ends, doubtful });
         let more = self.formers.len().saturating_sub(FORMER_KEPT);
         self.formers.drain(..more);
     }
--- a/crates/pond-job/src/lead/ends.rs
+++ b/crates/pond-job/src/lead/ends.rs
@@ -65,6 +65,7 @@
             || self.workers.get(life).is_some_and(|worker| worker.draining);
         let logged = state.placed(life).next().is_some() || state.settled(life) > 0;
         if logged {
+            self.propose_last_ends(state, life, end);
             let why = if left { Lost::Left } else { Lost::Crashed };
             self.propose_lost(state, now, life, why, end);
         }
@@ -74,6 +75,17 @@
         }
     }
 
+    /// Proposes the ends of a life that is over, before its loss is: a run that has ended is not lost. Once is enough, as
+    /// proposals vanish only with their leader; after the loss they would count again.
+    fn propose_last_ends(&mut self, state: &State, life: &str, end: Option<&Report>) {
+        let Some(end) = end.filter(|_| !self.losing.contains_key(life)) else { return };
+        let ends = last_ends(state, end);
+        if !ends.is_empty() {
+            let (worker, unstarted) = (life.to_owned(), Vec::new());
+            self.outputs.push(Output::Propose(Change::Ended { worker, ends, unstarted }));
+        }
+    }
+
     /// Gives up workers whose lease has surely run out.
     pub(super) fn lose_silent(&mut self, state: &State, now: Millis) {
         let over = self.terms.surely_over_ms();
@@ -170,7 +182,9 @@
                 Last { run, lived_ms, told: false, met: false, began: false, save: String::new() }
             }
         };
-        state.placed(life).map(last).collect()
+        let ended =
+            |run: &RunName| end.is_some_and(|end| end.ends.iter().any(|row| row.run == *run));
+        state.placed(life).filter(|run| !ended(run)).map(last).collect()
     }
 
     /// Proposes the ends and unstarted runs of a report if some are new, or if the last proposal shows
@@ -241,6 +255,16 @@
     }
 }
 
+/// The ends of a life that is over, of runs that have their place there, in their order.
+fn last_ends(state: &State, report: &Report) -> Vec<End> {
+    let (life, settled) = (report.worker.as_str(), state.settled(&report.worker));
+    let placed: BTreeSet<RunName> = state.placed(life).collect();
+    let open = |row: &&EndRow| row.number > settled && placed.contains(&row.run);
+    let mut ends: Vec<End> = report.ends.iter().filter(open).map(end_from).collect();
+    ends.sort_by_key(|end| end.number);
+    ends
+}
+
 fn end_from(row: &EndRow) -> End {
     End { number: row.number, run: row.run, how: row.how(), save: row.save.clone() }
 }
--- a/crates/pond-proto/src/fleet.rs
+++ b/crates/pond-proto/src/fleet.rs
@@ -207,8 +207,8 @@
     /// The worker answers the agent's calls.
     #[prost(bool, tag = "9")]
     pub answers: bool,
-    /// This life of the worker is over. The report holds the runs that it had at last, and nothing else
-    /// of it.
+    /// This life of the worker is over. The report holds the runs that it had at last and the ends that are not
+    /// known to be settled, and nothing else of it.
     #[prost(bool, tag = "10")]
     pub gone: bool,
     /// Runs that were ordered or run.
