--- a/crates/pond-job/tests/leases.rs
+++ b/crates/pond-job/tests/leases.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use pond_job::{Change, Output};
+use pond_proto::job::{How, Phase};
 use support::{Bench, step, task};
 
 fn one_run_on_a() -> Bench {
@@ -112,3 +113,31 @@
     assert!(bench.proposed.iter().any(lost));
     assert_eq!(bench.started("a").last().map(|run| run.number), Some(2));
 }
+
+/// A worker that has started again under its id may carry out a start that was meant for it before. Seen: the task of
+/// such a start got a place elsewhere while it still ran, as the report of the new life ended the former one.
+#[test]
+fn life_is_not_over_while_the_next_one_runs_what_was_placed_on_it() {
+    let mut bench = one_run_on_a();
+    let run = bench.started("a")[0];
+    let vm = bench.vms.remove("a").unwrap();
+    bench.vms.insert("a2".to_owned(), vm);
+    bench.pass(9, &["a2", "b"]);
+    assert_eq!(bench.place_of(task(1, 0, 0)).as_deref(), Some("a"));
+    assert_eq!(bench.stopped("a2").first(), Some(&run));
+    bench.vms.get_mut("a2").unwrap().runs.clear();
+    bench.pass(2, &["a2", "b"]);
+    assert_ne!(bench.place_of(task(1, 0, 0)).as_deref(), Some("a"));
+}
+
+#[test]
+fn end_of_a_run_at_the_life_after_the_one_it_was_placed_on_counts() {
+    let mut bench = one_run_on_a();
+    let run = bench.started("a")[0];
+    let vm = bench.vms.remove("a").unwrap();
+    bench.vms.insert("a2".to_owned(), vm);
+    bench.end("a2", run, How::Done);
+    bench.pass(2, &["a2", "b"]);
+    assert_eq!(bench.phase(1), Some(Phase::Completed));
+    assert!(bench.started("b").is_empty());
+}
