A life is not over while the next one runs what was placed on it

A task got a place elsewhere while it still ran: a worker that started again under its id had carried out a start that was meant for it before, and the first report of the new life ended the former one in the same moment. The agent holds back its word that the former is over, but the leader drew the same conclusion from the report itself.

Now the leader waits as long as the agent tells of such a run, or of its end, at the new life: the run is a stray there and told to stop, an end counts as always, and then the former life is lost as before. If the new life falls silent, its own lease decides. The former gets no orders meanwhile.

Red before: the task placed on another worker with the first report; green now, with the tests of leases, ghosts and suspects.

--- a/crates/pond-job/src/lead/ends.rs
+++ b/crates/pond-job/src/lead/ends.rs
@@ -59,8 +59,25 @@
         }
     }
 
-    /// A life of a worker is over, so nothing of it runs. Its agent may have told of its end.
+    /// When the clock of the life after this one last went on, if that one has what is placed on this one: a worker that
+    /// starts again under its id may be reached by starts that were meant for it before.
+    fn outlived(&self, state: &State, life: &str) -> Option<Millis> {
+        let agent = self.agent_of(state, life);
+        let beside = |(other, worker): &(&String, &Worker)| {
+            other.as_str() != life
+                && worker.agent == agent
+                && state.placed(life).any(|run| worker.tells_of(run))
+        };
+        self.workers.iter().filter(beside).map(|(_, worker)| worker.clocked).max()
+    }
+
+    /// A life of a worker is over, so nothing of it runs, unless a later one has taken it on; that one is told to stop it
+    /// first. Its agent may have told of its end.
     pub(super) fn over(&mut self, state: &State, now: Millis, life: &str, end: Option<&Report>) {
+        if self.outlived(state, life).is_some() {
+            self.workers.get_mut(life).into_iter().for_each(Worker::dismiss);
+            return;
+        }
         let left = end.is_some_and(|end| end.left)
             || self.workers.get(life).is_some_and(|worker| worker.draining);
         let logged = state.placed(life).next().is_some() || state.settled(life) > 0;
@@ -91,9 +108,14 @@
         let over = self.terms.surely_over_ms();
         let clocked =
             |life: &str| self.workers.get(life).map_or(self.since, |worker| worker.clocked);
+        // What runs on goes by the lease of the life that runs it.
+        let lasts = |life: &str| {
+            let outlived = self.outlived(state, life);
+            outlived.is_some_and(|clocked| now.since(clocked) < over)
+        };
         let silent: Vec<String> = state
             .workers()
-            .filter(|life| now.since(clocked(life)) >= over)
+            .filter(|life| now.since(clocked(life)) >= over && !lasts(life))
             .map(str::to_owned)
             .collect();
         for life in silent {
--- a/crates/pond-job/src/lead/mod.rs
+++ b/crates/pond-job/src/lead/mod.rs
@@ -176,13 +176,13 @@
             self.over(state, now, &life, Some(&report));
             return;
         }
-        self.replace_former_lives(state, now, agent, &life);
         if !self.workers.contains_key(&life) {
             let worker = life.clone();
             self.outputs.push(Output::Decided(Decision::WorkerUp { worker }));
         }
         let worker = self.workers.entry(life.clone()).or_insert_with(|| Worker::new(agent));
         let figures = worker.take(now, link, &report);
+        self.replace_former_lives(state, now, agent, &life);
         if figures {
             self.harm.learn(state, now, &report);
             self.evict(state, now, &life, &report);
--- a/crates/pond-job/src/lead/worker.rs
+++ b/crates/pond-job/src/lead/worker.rs
@@ -51,6 +51,8 @@
     pub answers: bool,
     /// Runs that it was told of or has.
     pub rows: BTreeMap<RunName, RunRow>,
+    /// Runs that ended there and whose ends are not known to be settled.
+    pub ended: BTreeSet<RunName>,
     /// How the runs get on.
     pub progress: BTreeMap<RunName, Progress>,
     /// How the agent was told to watch each run.
@@ -84,6 +86,7 @@
             draining: false,
             answers: false,
             rows: BTreeMap::new(),
+            ended: BTreeSet::new(),
             progress: BTreeMap::new(),
             watched: BTreeMap::new(),
             ordered: BTreeMap::new(),
@@ -121,6 +124,7 @@
         };
         let new = figures(&rows) != figures(&self.rows);
         self.rows = rows;
+        self.ended = report.ends.iter().map(|end| end.run).collect();
         new
     }
 
@@ -151,6 +155,17 @@
         self.ordered.insert(run, Ordered { go_on, at: now, times: times.saturating_add(1) });
     }
 
+    /// Whether the agent tells of a run, or of its end.
+    pub fn tells_of(&self, run: RunName) -> bool {
+        self.rows.contains_key(&run) || self.ended.contains(&run)
+    }
+
+    /// Nothing is ordered of it any more.
+    pub fn dismiss(&mut self) {
+        self.link = None;
+        self.answers = false;
+    }
+
     /// Whether the worker itself has listed a run.
     pub fn has_listed(&self, run: RunName) -> bool {
         self.rows.get(&run).is_some_and(|row| !row.unlisted)
