--- a/crates/pond-agent/tests/core.rs
+++ b/crates/pond-agent/tests/core.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeMap;
 
-use pond_agent::{Call, Refusal, Registration, Reply};
+use pond_agent::{Answer, Call, Refusal, Registration, Reply};
 use pond_proto::Size;
 use pond_proto::fleet::{Order, StartOrder, Watch};
 use pond_proto::job::How;
@@ -109,11 +109,7 @@
     for _ in 0..5 {
         bench.pass(1_000);
     }
-    let acknowledged = bench.calls.iter().filter_map(|(_, call)| match call {
-        Call::Look { settled, .. } if *settled > 0 => Some(*settled),
-        _ => None,
-    });
-    assert_eq!(acknowledged.collect::<Vec<_>>(), [1]);
+    assert_eq!(bench.acknowledged, [1]);
 }
 
 #[test]
@@ -432,3 +428,96 @@
         assert!(bench.last().draining);
     }
 }
+
+/// A worker that has started again in between would carry the start out and forget its end unread.
+#[test]
+fn worker_may_forget_nothing_while_a_start_is_on_its_way() {
+    let mut bench = Bench::new();
+    bench.list(&[], &[(1, 0, How::Done)]);
+    bench.start(1);
+    bench.order(Order { settled: 1, ..Order::default() });
+    bench.pass(100);
+    assert_eq!(bench.acknowledged.len(), 0);
+    bench.answer(is_start, Reply::Done);
+    assert_eq!(bench.acknowledged.len(), 0);
+    bench.list_all(&[1], &[]);
+    assert_eq!(bench.acknowledged, [1]);
+}
+
+#[test]
+fn nothing_is_started_while_an_acknowledgement_is_on_its_way() {
+    let mut bench = Bench::new();
+    bench.list(&[], &[(1, 0, How::Done)]);
+    bench.order(Order { settled: 1, ..Order::default() });
+    assert_eq!(bench.acknowledged, [1]);
+    bench.start(1);
+    assert_eq!(bench.count(is_start), 0);
+    bench.list_all(&[], &[]);
+    assert_eq!(bench.count(is_start), 1);
+}
+
+#[test]
+fn acknowledgement_that_starts_leave_no_moment_for_makes_them_wait() {
+    let mut bench = Bench::new();
+    bench.list(&[], &[(1, 0, How::Done)]);
+    bench.start(1);
+    bench.order(Order { settled: 1, ..Order::default() });
+    bench.pass(1_050);
+    bench.start(2);
+    assert_eq!(bench.count(is_start), 1);
+    bench.answer(is_start, Reply::Done);
+    bench.list_all(&[1], &[]);
+    assert_eq!(bench.acknowledged, [1]);
+    // One that is not answered holds up the others for a moment only.
+    let mut bench = Bench::new();
+    bench.list(&[], &[(1, 0, How::Done)]);
+    bench.start(1);
+    bench.order(Order { settled: 1, ..Order::default() });
+    bench.pass(1_050);
+    bench.start(2);
+    bench.pass(200);
+    assert_eq!(bench.count(is_start), 2);
+}
+
+#[test]
+fn nothing_is_started_after_a_clock_that_falls_until_a_list() {
+    let mut bench = Bench::new();
+    bench.start(0);
+    let found = bench.calls.iter().position(|(_, call)| is_start(call)).expect("a start");
+    let (look, call) = bench.calls.remove(found);
+    let answer = Answer { clock_ms: Some(1_000), reply: Reply::Done };
+    bench.core.answer(bench.now, LIFE, bench.token, look, &call, answer);
+    bench.tick();
+    bench.start(1);
+    assert_eq!(bench.count(is_start), 0);
+    bench.list_all(&[0], &[]);
+    assert_eq!(bench.count(is_start), 1);
+}
+
+/// The life before this one is told as over only once what may have reached this one runs nowhere.
+#[test]
+fn start_that_may_reach_the_next_life_of_the_worker_is_stopped_there_first() {
+    let mut bench = Bench::new();
+    bench.start(0);
+    bench.answer(is_look, Reply::Restarted);
+    assert!(!bench.reports.iter().any(|report| report.gone));
+    bench.claim_as(LIFE, "life-2", 1);
+    bench.answer_claim("life-2", Reply::Listed { runs: vec![], ends: vec![] });
+    let told: Vec<_> = bench.last().runs.iter().map(|row| row.run).collect();
+    assert_eq!((bench.count(is_stop), told), (1, vec![run(0)]));
+    assert!(!bench.reports.iter().any(|report| report.gone));
+    bench.answer_as("life-2", is_stop, Reply::Done);
+    while bench.count(is_look) > 0 && !bench.reports.iter().any(|report| report.gone) {
+        bench.answer_as("life-2", is_look, Reply::Listed { runs: vec![], ends: vec![] });
+    }
+    assert_eq!(bench.gone().worker, LIFE);
+}
+
+/// Only a list tells which of the lives with one id it is from.
+#[test]
+fn life_that_registers_and_refuses_to_list_is_not_taken_for_the_worker() {
+    let mut bench = Bench::new();
+    bench.claim_as(LIFE, "life-0", 1);
+    bench.answer_claim("life-0", Reply::Refused(Refusal::Unwell));
+    assert_eq!(bench.core.life(), Some(LIFE));
+}
--- a/crates/pond-agent/tests/support/mod.rs
+++ b/crates/pond-agent/tests/support/mod.rs
@@ -23,6 +23,8 @@
     pub token: u64,
     pub reports: Vec<Report>,
     pub observed: Vec<Observation>,
+    /// The numbers up to which ends were acknowledged.
+    pub acknowledged: Vec<u64>,
 }
 
 impl Bench {
@@ -36,6 +38,7 @@
             token: 0,
             reports: vec![],
             observed: vec![],
+            acknowledged: vec![],
         }
     }
 
@@ -52,10 +55,19 @@
         self.answer_claim(life, Reply::Listed { runs: vec![], ends: vec![] });
     }
 
-    /// A registration comes.
+    /// A registration comes of a worker whose id is the name of its life.
     pub fn claim(&mut self, life: &str, draining: bool, sequence: u64) {
+        self.registration(life, life, draining, sequence);
+    }
+
+    /// The same of the worker of that id.
+    pub fn claim_as(&mut self, id: &str, life: &str, sequence: u64) {
+        self.registration(id, life, false, sequence);
+    }
+
+    fn registration(&mut self, id: &str, life: &str, draining: bool, sequence: u64) {
         let registration = Registration {
-            id: life.to_owned(),
+            id: id.to_owned(),
             life: life.to_owned(),
             address: "127.0.0.1:1".to_owned(),
             room: Size::new(4_000, 1_000, 0),
@@ -75,6 +87,9 @@
                     self.claims.push((life, look, call));
                 }
                 Output::Call { token, look, call, .. } => {
+                    if let Call::Look { settled, .. } = call {
+                        self.acknowledged.extend((settled > 0).then_some(settled));
+                    }
                     self.token = token;
                     self.calls.push((look, call));
                 }
@@ -135,10 +150,15 @@
 
     /// Answers the oldest call of that kind that was not answered yet.
     pub fn answer(&mut self, wanted: fn(&Call) -> bool, reply: Reply) {
+        self.answer_as(LIFE, wanted, reply);
+    }
+
+    /// The same with a call to that life.
+    pub fn answer_as(&mut self, life: &str, wanted: fn(&Call) -> bool, reply: Reply) {
         let found = self.calls.iter().position(|(_, call)| wanted(call)).expect("no such call");
         let (look, call) = self.calls.remove(found);
         let answer = Answer { clock_ms: Some(51_000), reply };
-        self.core.answer(self.now, LIFE, self.token, look, &call, answer);
+        self.core.answer(self.now, life, self.token, look, &call, answer);
         self.tick();
     }
 
--- a/crates/pond-job/tests/world/book.rs
+++ b/crates/pond-job/tests/world/book.rs
@@ -7,6 +7,8 @@
 use rand::Rng;
 use rand::rngs::StdRng;
 
+use super::machine::id_of;
+
 /// Images of filling tasks.
 const FILLERS: [&str; 6] = ["grind", "press", "sift", "weave", "forge", "mill"];
 
@@ -58,7 +60,7 @@
     /// Whether a life of a worker may run a job, as its adviser sees it.
     pub fn allows(&self, id: u64, life: &str) -> bool {
         let advised = self.jobs.get(&id).is_some_and(|work| work.advised);
-        !advised || self.unit(&[id, number_of(life)]) < ALLOWED
+        !advised || self.unit(&[id, number_of(id_of(life))]) < ALLOWED
     }
 
     /// How long after its start a run takes down its worker, in milliseconds; none if it does not.
--- a/crates/pond-job/tests/world/machine.rs
+++ b/crates/pond-job/tests/world/machine.rs
@@ -22,8 +22,18 @@
     due: Millis,
 }
 
+/// In the name of a life, between the id and the start of a worker that kept its id.
+const START: char = '~';
+
+/// The id in the name of a life.
+pub fn id_of(life: &str) -> &str {
+    life.split(START).next().unwrap_or(life)
+}
+
 pub struct Machine {
     pub name: String,
+    /// The id of its worker.
+    id: String,
     pub room: Size,
     pub labels: Vec<String>,
     pub data_centre: &'static str,
@@ -54,6 +64,7 @@
     pub fn new(name: String, room: Size, labels: Vec<String>, clock_permille: u64) -> Machine {
         Machine {
             name,
+            id: String::new(),
             room,
             labels,
             data_centre: "",
@@ -73,11 +84,15 @@
         }
     }
 
-    /// A new life of the worker.
-    pub fn boot(&mut self, now: Millis) {
+    /// A new life of the worker, under the id of the one before or another one.
+    pub fn boot(&mut self, now: Millis, same_id: bool) {
         self.lives += 1;
         self.refuses = false;
-        let life = format!("{}-{}", self.name, self.lives);
+        if !same_id || self.id.is_empty() {
+            self.id = format!("{}-{}", self.name, self.lives);
+        }
+        let life =
+            if same_id { format!("{}{START}{}", self.id, self.lives) } else { self.id.clone() };
         let (room, labels) = (self.room, self.labels.clone());
         self.worker = Some(Worker::new(life, room, labels, now, self.clock_permille));
         self.registered = Millis(0);
@@ -152,7 +167,7 @@
         self.registered = now;
         self.sequence += 1;
         let registration = Registration {
-            id: worker.life.clone(),
+            id: id_of(&worker.life).to_owned(),
             life: worker.life.clone(),
             address: self.name.clone(),
             pool: "vms".to_owned(),
@@ -174,7 +189,7 @@
         let (reply, due) = match worker {
             None if self.refuses => (Some(Reply::NotSent), now),
             None => (Some(Reply::Unknown), patience),
-            Some(worker) if worker.life != life => (Some(Reply::OtherLife), now),
+            Some(worker) if id_of(&worker.life) != id_of(&life) => (Some(Reply::OtherLife), now),
             Some(worker) => match (worker.call(now, book, token, &call), &call) {
                 (Some(reply), _) => (Some(reply), now),
                 (None, Call::Look { wait_ms, .. }) => (None, now + *wait_ms),
@@ -191,10 +206,11 @@
             |pending: &mut Pending| pending.due <= now || (pending.reply.is_none() && ended);
         let due: Vec<Pending> = self.pending.extract_if(.., ready).collect();
         for Pending { life, token, look, call, reply, .. } in due {
-            let there = worker.filter(|worker| worker.life == life);
+            let there = worker.filter(|worker| id_of(&worker.life) == id_of(&life));
             let reply = match (reply, there) {
                 (Some(reply), _) => reply,
                 (None, None) => Reply::Unknown,
+                (None, Some(worker)) if worker.life != life => Reply::Restarted,
                 (None, Some(worker)) => {
                     Reply::Listed { runs: worker.rows(book, now), ends: worker.ends.clone() }
                 }
--- a/crates/pond-job/tests/world/mod.rs
+++ b/crates/pond-job/tests/world/mod.rs
@@ -32,6 +32,9 @@
 /// Serving jobs that are replaced by others in a second.
 const SERVING_RATE: f64 = 0.15;
 
+/// The share of workers that come back with their id, where some do.
+const SAME_ID: f64 = 0.8;
+
 /// When everything begins.
 const START: Millis = Millis(100_000);
 
@@ -74,6 +77,10 @@
     /// Questions to the adviser, and when it has an answer.
     questions: Vec<(Millis, Question)>,
     links: u64,
+    /// Most workers that come back have the id that they had.
+    pub same_ids: bool,
+    /// Draws which; apart from all else, so that it changes nothing of other histories.
+    ids: StdRng,
     /// No worker goes down but under a task.
     pub sturdy: bool,
     /// When a worker goes down under a task, most often its agent does, too, or a new leader has just begun when it
@@ -114,13 +121,15 @@
             advised,
             questions: Vec::new(),
             links: 0,
+            same_ids: false,
+            ids: StdRng::seed_from_u64(!seed),
             sturdy: false,
             unseen: false,
             diary: Vec::new(),
             watch: Watch::default(),
             evacuations: Evacuations::default(),
         };
-        world.machines.iter_mut().for_each(|machine| machine.boot(START));
+        world.machines.iter_mut().for_each(|machine| machine.boot(START, false));
         world.serve(processors);
         world
     }
@@ -231,7 +240,8 @@
             let gap_ms = self.rng.random_range(50..400);
             self.depose(gap_ms);
         }
-        self.machines[i].boot(self.now);
+        let same_id = self.same_ids && self.ids.random_bool(SAME_ID);
+        self.machines[i].boot(self.now, same_id);
     }
 
     /// Keeps which tasks are given up for what they may have done to workers.
--- a/crates/pond-job/tests/world/watch.rs
+++ b/crates/pond-job/tests/world/watch.rs
@@ -7,6 +7,7 @@
 use pond_proto::{Millis, Size, Span};
 
 use super::World;
+use super::machine::id_of;
 use super::worker::Worker;
 
 /// A lasting task counts as waiting only this long after its last run, in milliseconds.
@@ -127,7 +128,10 @@
                 broken.push(format!("{} has {} of {}", worker.life, worker.taken(), worker.room));
             }
             for name in std::mem::take(&mut worker.begun) {
-                let placed = self.state.placed(&worker.life).any(|run| run == name);
+                // A start may reach the life after the one that it was meant for, if that has the same id.
+                let same_id = |life: &&str| id_of(life) == id_of(&worker.life);
+                let mut lives = self.state.workers().filter(same_id);
+                let placed = lives.any(|life| self.state.placed(life).any(|run| run == name));
                 let done = self.watch.done.get(&name);
                 if closed {
                     broken.push(format!("{name} began on {}, which is evacuated", worker.life));
