--- a/crates/pond-agent/tests/core.rs
+++ b/crates/pond-agent/tests/core.rs
@@ -521,3 +521,23 @@
     bench.answer_claim("life-0", Reply::Refused(Refusal::Unwell));
     assert_eq!(bench.core.life(), Some(LIFE));
 }
+
+/// Seen: a farewell that came late, of a start of the worker that was over, ended the next one, which had the same id and
+/// whose runs went on. It names the id alone.
+///
+/// Cause: a word of one life was taken for another's without a look at who is there. What proved it: the test fails if
+/// the farewell ends the life at once.
+#[test]
+fn farewell_of_a_worker_that_still_answers_ends_nothing() {
+    let mut bench = Bench::new();
+    bench.start(0);
+    bench.answer(is_start, Reply::Done);
+    bench.list(&[0], &[]);
+    bench.core.leaves(bench.now, LIFE);
+    bench.tick();
+    bench.list_all(&[0], &[]);
+    bench.pass(1_000);
+    assert_eq!(bench.core.life(), Some(LIFE));
+    assert!(!bench.reports.iter().any(|report| report.gone));
+    assert!(!bench.last().draining);
+}
