A worker's farewell is believed once nobody takes its calls

A worker that ends says so with its id alone. Where such a word comes late and the worker has started again under its id, the agent ended the life that was there, and its runs got places elsewhere while they went on (found by reading).

Now the agent asks for a list, and takes the worker for gone once nobody takes a call within 3 s; if it answers, nothing has changed. Ruled out: the mismatch of a registration, as a farewell has no body. Event 628 tells the word, 609 of the leader the loss. Red before, green now; tests that told the farewell alone answer the call that follows it as well.

--- a/crates/pond-agent/src/agent.rs
+++ b/crates/pond-agent/src/agent.rs
@@ -41,7 +41,7 @@
         self.inputs.send(Input::Registered(registration)).await.is_ok()
     }
 
-    /// The worker of that id says that its life is over. False if the agent has stopped.
+    /// The worker of that id says that it ends. False if the agent has stopped.
     pub async fn leaves(&self, id: String) -> bool {
         self.inputs.send(Input::Leaves(id)).await.is_ok()
     }
@@ -132,7 +132,7 @@
         match input {
             Input::Registered(registration) => self.registered(now, registration),
             Input::Leaves(id) => {
-                event!(self.log, WORKER_LOST, "worker" => id.clone(), "why" => "it left");
+                event!(self.log, WORKER_LEAVES, "worker" => id.clone());
                 self.core.leaves(now, &id);
             }
             Input::Answered { life, token, look, call, answer } => {
--- a/crates/pond-agent/src/core/answers.rs
+++ b/crates/pond-agent/src/core/answers.rs
@@ -60,6 +60,7 @@
         match answer.reply {
             Reply::OtherLife => return self.other_worker(now),
             Reply::Restarted => return self.new_life(now, ""),
+            Reply::NotSent if self.has_left(now) => return self.new_life(now, ""),
             _ => {}
         }
         self.note_alive(now, &answer.reply);
--- a/crates/pond-agent/src/core/claim.rs
+++ b/crates/pond-agent/src/core/claim.rs
@@ -23,11 +23,6 @@
 }
 
 impl Claim {
-    /// Whether it is by the worker of that id.
-    pub fn is_by(&self, id: &str) -> bool {
-        self.registration.id == id
-    }
-
     /// Whether it is that life's.
     pub fn is_of(&self, life: &str) -> bool {
         self.registration.life == life
--- a/crates/pond-agent/src/core/mod.rs
+++ b/crates/pond-agent/src/core/mod.rs
@@ -33,6 +33,10 @@
 /// Registrations that an agent may miss between two, as during a cut of a day with one a second.
 const MOST_MISSED: u64 = 100_000;
 
+/// A worker that has said that it ends takes no calls after this time, in milliseconds; one that still does has started
+/// again.
+const FAREWELL_MS: Span = 3_000;
+
 /// A suspect is started without an answer of its worker after this time, in milliseconds: the worker may be
 /// well and its answers lost.
 const MEET_MS: Span = 300;
@@ -155,6 +159,8 @@
     unacknowledged: Millis,
     /// Lists up to this number prove nothing, as a call after them failed: the worker may have started again.
     doubted: Option<u64>,
+    /// When the worker last said that it ends.
+    farewell: Option<Millis>,
     /// Number of the list that was asked for because of that.
     checking: Option<u64>,
     runs: BTreeMap<RunName, Run>,
@@ -283,15 +289,22 @@
         self.term > self.fenced
     }
 
-    /// The worker of that id says that its life is over.
+    /// The worker of that id says that it ends. The word may come late, when the worker has started again under its id, so
+    /// it is believed once nobody takes calls any more.
     pub fn leaves(&mut self, now: Millis, id: &str) {
-        self.claims.retain(|claim| !claim.is_by(id));
         if self.worker.as_ref().is_some_and(|worker| worker.id == id) {
-            if let Some(worker) = &mut self.worker {
-                worker.draining = true;
-            }
-            self.new_life(now, "");
+            self.farewell = Some(now);
+            self.look(0);
+        }
+    }
+
+    /// Nobody takes calls at the worker's address: whether it has left, as it had said.
+    fn has_left(&mut self, now: Millis) -> bool {
+        let left = self.farewell.is_some_and(|at| now.since(at) < FAREWELL_MS);
+        if left && let Some(worker) = &mut self.worker {
+            worker.draining = true;
         }
+        left
     }
 
     /// What to report of the runs.
--- a/crates/pond-agent/tests/core.rs
+++ b/crates/pond-agent/tests/core.rs
@@ -217,6 +217,7 @@
 fn life_that_is_over_does_not_come_back_with_a_late_registration() {
     let mut bench = Bench::new();
     bench.core.leaves(bench.now, LIFE);
+    bench.answer(is_look, Reply::NotSent);
     bench.register(LIFE, false, 9);
     assert_eq!(bench.core.life(), None);
     bench.register("life-2", false, 1);
@@ -356,7 +357,7 @@
     bench.answer(is_start, Reply::Done);
     bench.list(&[0], &[]);
     bench.core.leaves(bench.now, LIFE);
-    bench.pass(1);
+    bench.answer(is_look, Reply::NotSent);
     assert!(bench.gone().left);
 }
 
@@ -522,8 +523,8 @@
     assert_eq!(bench.core.life(), Some(LIFE));
 }
 
-/// Seen: a farewell that came late, of a start of the worker that was over, ended the next one, which had the same id and
-/// whose runs went on. It names the id alone.
+/// Found by reading: a farewell that comes late, of a start of the worker that is over, ended the next one, which has the
+/// same id and whose runs go on. It names the id alone.
 ///
 /// Cause: a word of one life was taken for another's without a look at who is there. What proved it: the test fails if
 /// the farewell ends the life at once.
--- a/crates/pond-log/src/events.rs
+++ b/crates/pond-log/src/events.rs
@@ -179,6 +179,8 @@
         "compare the worker's ends with `settled` in 612: both must be of one start of the worker";
     RUN_VANISHED = 627, Info, "a run that was listed is on no list any more and counts as ended",
         "nothing if 606 tells of its end; else see 626";
+    WORKER_LEAVES = 628, Info, "a worker says that it ends",
+        "nothing: 609 of the leader follows once it takes no calls any more";
     ADVISED = 619, Info, "the adviser said which workers may run a step", "nothing";
 }
 
