--- a/crates/pond-job/tests/leases.rs
+++ b/crates/pond-job/tests/leases.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use pond_job::{Change, Output};
+use pond_proto::fleet::{EndRow, Report};
 use pond_proto::job::{How, Phase};
 use support::{Bench, step, task};
 
@@ -141,3 +142,31 @@
     assert_eq!(bench.phase(1), Some(Phase::Completed));
     assert!(bench.started("b").is_empty());
 }
+
+/// Found by reading: what an agent tells of a life that is over was dropped while the next one still had a run of it, and
+/// with it the ends that nobody else knows.
+#[test]
+fn what_is_told_of_a_life_that_is_over_counts_once_the_next_one_lets_go_of_it() {
+    let mut bench = Bench::new().with_vm("a", 2_000);
+    bench.submit(1, vec![step(1, 500)]);
+    bench.submit(2, vec![step(1, 500)]);
+    bench.settle();
+    bench.obey("a");
+    bench.report("a");
+    bench.add_vm("b", 2_000);
+    bench.settle();
+    let (gone_on, ended) = (bench.started("a")[0], bench.started("a")[1]);
+    let mut vm = bench.vms.remove("a").unwrap();
+    vm.runs.retain(|run, _| *run == gone_on);
+    let link = vm.link;
+    bench.vms.insert("a2".to_owned(), vm);
+    bench.report("a2");
+    let end = EndRow { number: 1, run: ended, how: How::Done as i32, save: String::new() };
+    let over = Report { worker: "a".to_owned(), gone: true, ends: vec![end], ..Report::default() };
+    bench.leader.report(&bench.state, bench.now, link, "agent-of-a", over);
+    bench.pass(1, &["a2", "b"]);
+    bench.vms.get_mut("a2").unwrap().runs.clear();
+    bench.pass(2, &["a2", "b"]);
+    assert_eq!(bench.phase(ended.task.job), Some(Phase::Completed));
+    assert_ne!(bench.place_of(gone_on.task).as_deref(), Some("a"));
+}
