What is told of a life that is over is kept until it counts as over

Tasks that were done were placed again: the leader holds a former life back while the next one has a run of it, and dropped what the agent told of its end meanwhile, with ends that nobody else knows. Now it keeps that report and goes by it once the next life has let go.

--- a/crates/pond-agent/src/core/mod.rs
+++ b/crates/pond-agent/src/core/mod.rs
@@ -1,9 +1,10 @@
 //! The agent's decisions.
 //!
-//! Three things must not go wrong here. A start without an answer is neither running nor not
+//! Four things must not go wrong here. A start without an answer is neither running nor not
 //! running: it is asked for again, and given up only after a confirmed stop and a list that was
 //! asked for after it. An end is forgotten only after control has settled it. The lease is extended
-//! only up to times that control granted.
+//! only up to times that control granted. What is sent to one life of the worker may reach the next, which may have
+//! the same id: only a list tells whose it is.
 
 mod answers;
 mod claim;
@@ -159,10 +160,10 @@
     unacknowledged: Millis,
     /// Lists up to this number prove nothing, as a call after them failed: the worker may have started again.
     doubted: Option<u64>,
-    /// When the worker last said that it ends.
-    farewell: Option<Millis>,
     /// Number of the list that was asked for because of that.
     checking: Option<u64>,
+    /// When the worker last said that it ends.
+    farewell: Option<Millis>,
     runs: BTreeMap<RunName, Run>,
     ends: BTreeMap<u64, EndRow>,
     unstarted: BTreeSet<RunName>,
--- a/crates/pond-job/src/lead/ends.rs
+++ b/crates/pond-job/src/lead/ends.rs
@@ -76,8 +76,12 @@
     pub(super) fn over(&mut self, state: &State, now: Millis, life: &str, end: Option<&Report>) {
         if self.outlived(state, life).is_some() {
             self.workers.get_mut(life).into_iter().for_each(Worker::dismiss);
+            self.told.extend(end.map(|end| (life.to_owned(), end.clone())));
             return;
         }
+        // Nobody else knows the ends that were told then.
+        let told = self.told.remove(life);
+        let end = end.or(told.as_ref());
         let left = end.is_some_and(|end| end.left)
             || self.workers.get(life).is_some_and(|worker| worker.draining);
         let logged = state.placed(life).next().is_some() || state.settled(life) > 0;
@@ -130,6 +134,7 @@
         }
         self.workers.retain(|_, worker| worker.link.is_some() || now.since(worker.heard) < over);
         self.begun.retain(|life, _| self.workers.contains_key(life));
+        self.told.retain(|life, _| state.placed(life).next().is_some());
     }
 
     /// Proposes that nothing of a life runs any more, with the newest known saves of what ran there.
--- a/crates/pond-job/src/lead/mod.rs
+++ b/crates/pond-job/src/lead/mod.rs
@@ -93,6 +93,8 @@
     /// Lives whose loss is proposed. They get no order until it is in the log: a run that starts or
     /// goes on there would run beside the one that replaces it.
     losing: BTreeMap<String, Loss>,
+    /// What was told last of lives that are over, while a later one still has runs of theirs.
+    told: BTreeMap<String, Report>,
     /// When workers were lost, and what was cleared of it.
     losses: Losses,
     /// When a start was last applied for a life.
@@ -142,6 +144,7 @@
             health: BTreeMap::new(),
             starting: None,
             losing: BTreeMap::new(),
+            told: BTreeMap::new(),
             losses: Losses::default(),
             begun: BTreeMap::new(),
             unwanted: BTreeSet::new(),
