Lasting tasks wait two seconds for a place however full the pool is, also for workers with suspects

Cause, from traces of all workers each quarter of a second (seeds 0, 634, 745, 783, 886): in a pool that serves, the one or two workers with room are those on which suspects begin, and they are closed to all others by a suspect for 2.5 s, then kept for the next one, which cannot begin until the former is cleared (up to 10 s). Nothing bounds that: a trial comes after 2 s only while 40 % of the pool is free, else after 20 s, and never on a worker with a suspect. Suspects that last (losses 3, likely 2, probability 0.004 to 0.05) wait the same way.

--- a/crates/pond-job/src/lead/candidate.rs
+++ b/crates/pond-job/src/lead/candidate.rs
@@ -272,7 +272,8 @@
     pub fn admits(&self, pool: &str, task: TaskName, step: &Step, overlooked: &[Obstacle]) -> bool {
         let overlooks = |obstacle| overlooked.contains(&obstacle);
         let free = if overlooks(Obstacle::Kept) { self.free } else { self.free_beside_kept(task) };
-        let sound = self.unsound_for(step).is_none_or(overlooks);
+        let apart = self.closed() && !overlooks(Obstacle::Suspect);
+        let sound = !apart && self.sick_for(step).is_none_or(overlooks);
         self.allows(pool, task, step) && sound && step.size().fits(free)
     }
 
--- a/crates/pond-job/src/lead/overdue.rs
+++ b/crates/pond-job/src/lead/overdue.rs
@@ -9,6 +9,9 @@
 //! first again after each of its tasks, and one at the end of that order would stand still meanwhile. A job
 //! that has had a trial does not wait for its patience again: its next one would start only after two seconds
 //! in which nothing of it runs.
+//!
+//! Tasks that last have the short patience however full the pool is, and are tried beside suspects where nothing else has room:
+//! in a pool that serves the few workers with room are those on which suspects begin, one after the other.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
@@ -78,7 +81,9 @@
     fn of(now: Millis, group: &Ready<'_>, wait: Wait, plenty: bool) -> Option<Due> {
         let lasting = group.step.lasting;
         let waited_ms = now.since(wait.since);
-        let patience_ms = if plenty { PATIENCE_MS } else { LONG_PATIENCE_MS };
+        // Users allow what lasts the same time however full the pool is.
+        let short = plenty || lasting;
+        let patience_ms = if short { PATIENCE_MS } else { LONG_PATIENCE_MS };
         if waited_ms < patience_ms || (wait.still.is_none() && !lasting) {
             return None;
         }
@@ -86,8 +91,8 @@
         let due_ms = still_ms.min(waited_ms - patience_ms);
         let desperate = still_ms >= LONG_PATIENCE_MS;
         let boldness = Boldness {
-            most_tried: if plenty && due_ms >= TURN_MS { usize::MAX } else { MOST_TRIED },
-            takes_kept: plenty || desperate,
+            most_tried: if short && due_ms >= TURN_MS { usize::MAX } else { MOST_TRIED },
+            takes_kept: short || desperate,
             desperate,
         };
         Some(Due { still_ms, boldness })
@@ -194,17 +199,25 @@
         boldness: Boldness,
         candidates: &[Candidate],
     ) -> Vec<Obstacle> {
-        let kept = boldness.takes_kept.then_some(Obstacle::Kept);
+        let mut overlooked: Vec<Obstacle> =
+            boldness.takes_kept.then_some(Obstacle::Kept).into_iter().collect();
         let failed = group.tasks().get(task.index as usize).is_some_and(|task| task.failed > 0);
         let spared = (failed || group.job.attempts < 2) && !boldness.desperate;
         let sound = |there: &Candidate| {
             there.admits(&group.job.pool, task, group.step, &[Obstacle::Kept])
                 && !self.lacks_ticket(now, group, task, &there.life)
         };
-        if spared || candidates.iter().any(sound) {
-            return kept.into_iter().collect();
+        if candidates.iter().any(sound) {
+            return overlooked;
+        }
+        if !spared {
+            overlooked.extend(UNSOUND);
+        }
+        if group.step.lasting {
+            // The next suspect may come as soon as one is cleared, so to wait for a worker without any has no bound.
+            overlooked.push(Obstacle::Suspect);
         }
-        kept.into_iter().chain(UNSOUND).collect()
+        overlooked
     }
 
     /// The place of the candidate on which a task is expected to disturb least, whatever that is; one on
@@ -228,7 +241,7 @@
         // A suspect begins in company only if it has to: the company would share the blame.
         let unsuited = |candidate: &Candidate| {
             let failed = avoided.is_some_and(|avoided| avoided.contains(&candidate.life));
-            (suspect && !candidate.isolates(group.id), failed)
+            (candidate.closed() || (suspect && !candidate.isolates(group.id)), failed)
         };
         let found = candidates.iter().enumerate().filter(|(_, candidate)| open(candidate));
         let column = self.harm.column(group.image);
--- a/crates/pond-job/tests/world/mod.rs
+++ b/crates/pond-job/tests/world/mod.rs
@@ -137,6 +137,16 @@
     /// Hands in serving jobs for a part of the pool.
     fn serve(&mut self, processors: u32) {
         let part = self.rng.random_range(0.1..0.4);
+        self.serve_part(processors, part);
+    }
+
+    /// Hands in more serving jobs, for that part of the pool.
+    pub fn serve_more(&mut self, part: f64) {
+        let processors = self.machines.iter().map(|machine| machine.room.milli_cpu).sum();
+        self.serve_part(processors, part);
+    }
+
+    fn serve_part(&mut self, processors: u32, part: f64) {
         let jobs = self.rng.random_range(1..=6);
         let each = (f64::from(processors) * part) as u32 / jobs;
         for _ in 0..jobs {
--- a/crates/pond-job/tests/world/watch.rs
+++ b/crates/pond-job/tests/world/watch.rs
@@ -60,10 +60,12 @@
 pub struct Watch {
     /// Waits count from here on; none while there are faults.
     pub from: Option<Millis>,
-    /// When a worker last went down under a task.
-    pub disturbed: Millis,
     /// Longer waits are findings, in milliseconds.
     pub bound_ms: Span,
+    /// Only lasting tasks count, however full the pool is.
+    pub lasting_only: bool,
+    /// When a worker last went down under a task.
+    pub disturbed: Millis,
     pub since: BTreeMap<Waiter, Millis>,
     pub longest: BTreeMap<Waiter, Span>,
     /// When lasting tasks last ran.
@@ -166,14 +168,15 @@
     /// What waits although there is room for it twice over.
     fn waiting(&self) -> Vec<Waiter> {
         let mut waiting = Vec::new();
-        if !self.half_free() {
+        let lasting_only = self.watch.lasting_only;
+        if !lasting_only && !self.half_free() {
             return waiting;
         }
         let at_work: BTreeSet<TaskName> = self.runs().map(|(_, run, _)| run.task).collect();
         let busy: BTreeSet<u64> = at_work.iter().map(|task| task.job).collect();
         for (id, job) in self.state.active().filter(|(_, job)| !job.phase.ended()) {
             for (step_index, step) in job.spec.steps.iter().enumerate() {
-                let idle = !busy.contains(&id);
+                let idle = !lasting_only && !busy.contains(&id);
                 if !(idle || step.lasting) || !job.turn(0, step_index) || !self.fits(id, step) {
                     continue;
                 }
@@ -233,6 +236,10 @@
                 text += &format!("\n  a run is placed on {life}");
             }
         }
+        if let Waiter::Task(task) = waiter {
+            let held = self.state.job(id).and_then(|job| job.task(task)?.suspicion.as_deref());
+            text += &format!("\n  held against it: {held:?}");
+        }
         for (at, decision) in about.iter().skip(about.len().saturating_sub(SHOWN)) {
             text += &format!("\n  {} {decision:?}", at.0);
         }
