--- a/crates/pond-job/tests/suspects.rs
+++ b/crates/pond-job/tests/suspects.rs
@@ -74,7 +74,7 @@
 const UNSEEN_BYSTANDER_SEED: u64 = 141;
 
 /// Seeds in which a job waited for too long once all was over.
-const WAITING_SEEDS: [u64; 8] = [308, 374, 407, 521, 587, 787, 837, 983];
+const WAITING_SEEDS: [u64; 11] = [223, 308, 374, 407, 521, 587, 787, 837, 839, 975, 983];
 
 /// What came of a seed.
 struct Outcome {
--- a/crates/pond-job/tests/world/watch.rs
+++ b/crates/pond-job/tests/world/watch.rs
@@ -17,8 +17,8 @@
 /// into the log, in milliseconds: the lease of that one had run out before.
 const ON_WAY_MS: Span = 100;
 
-/// Waits count again from this long after a worker went down, in milliseconds: what users allow.
-const DISTURBED_MS: Span = 4_000;
+/// Of lasting tasks in a full pool waits count from this long after a worker went down, in milliseconds: what users allow.
+const CALM_MS: Span = 4_000;
 
 /// Decisions about a job that are shown if it waits too long.
 const SHOWN: usize = 12;
@@ -62,7 +62,7 @@
     pub from: Option<Millis>,
     /// Longer waits are findings, in milliseconds.
     pub bound_ms: Span,
-    /// Only lasting tasks count, however full the pool is.
+    /// Only lasting tasks count, however full the pool is, and only while nothing goes down.
     pub lasting_only: bool,
     /// When a worker last went down under a task.
     pub disturbed: Millis,
@@ -87,13 +87,11 @@
     /// Looks at all that can be seen at the workers.
     pub fn look(&mut self) {
         self.look_at_runs();
-        // Users bear what comes from a worker that has just gone down, also under a task.
-        let calm_from = self.watch.disturbed + DISTURBED_MS;
-        let from = self.watch.from.map(|from| from.max(calm_from));
-        let Some(from) = from.filter(|from| self.now >= *from) else {
+        let Some(from) = self.watch.from.filter(|from| self.now >= *from) else { return };
+        if self.watch.lasting_only && self.now.since(self.watch.disturbed) < CALM_MS {
             self.watch.since.clear();
             return;
-        };
+        }
         let waiting = self.waiting();
         self.watch.since.retain(|waiter, _| waiting.contains(waiter));
         for waiter in waiting {
