A run on a worker that does not answer does not hold back the job's other tasks

Cause: work that only a belief keeps waiting is tried once nothing of its job runs, and 'runs' meant a place on a worker that reports. The agent beside a worker that is down goes on reporting, with answers: false, and tells of its runs until the lease is over. Evidence: 620 of these jobs says still_ms 0 with 14 to 19 tasks waiting for seconds after their worker went down. The former mend of this class (a worker that has fallen silent) knew only silent agents.

Change: only a worker that answers is taken to run something.

--- a/crates/pond-job/src/lead/wait.rs
+++ b/crates/pond-job/src/lead/wait.rs
@@ -81,14 +81,16 @@
         }
     }
 
-    /// Whether a worker that reports has something of the job. A place in the replicated state is no
-    /// proof that something runs: a worker that has fallen silent may be dead.
+    /// Whether a worker that answers has something of the job. A place in the replicated state is no
+    /// proof that something runs: a worker that has fallen silent may be dead, and so may one of which
+    /// only its agent tells.
     fn runs_somewhere(&self, state: &State, now: Millis, job: &Job) -> bool {
         if job.placed == 0 {
             return false;
         }
         let fresh = |life: &str| {
-            self.workers.get(life).is_some_and(|worker| now.since(worker.heard) <= FRESH_MS)
+            let worker = self.workers.get(life);
+            worker.is_some_and(|worker| worker.answers && now.since(worker.heard) <= FRESH_MS)
         };
         let tasks = job.times.iter().flatten().flatten();
         let mut lives = tasks.filter_map(|task| task.worker.as_deref());
--- a/crates/pond-job/tests/beliefs.rs
+++ b/crates/pond-job/tests/beliefs.rs
@@ -256,6 +256,28 @@
     assert!(places.contains(&"b".to_owned()), "the lease of the silent worker is over already");
 }
 
+/// Guards against a job that stands still for as long as a worker is down, though it has other tasks to start: an agent
+/// goes on telling of the runs of a worker that does not answer it.
+#[test]
+fn job_whose_only_placed_run_is_on_a_worker_that_does_not_answer_stands_still() {
+    let mut bench = known_as_loud().with_vm("b", 3_200);
+    bench.submit_batch(9, vec![filling("loud", 2)]);
+    bench.settle();
+    for _ in 0..6 {
+        pass(&mut bench, &["a", "b"], 6, 0);
+    }
+    assert!(still_of(&bench, 9).is_empty(), "tried while its other task runs");
+    let down = bench.now;
+    bench.vms.get_mut("b").expect("a worker").answers = false;
+    let places =
+        |bench: &Bench| (0..2).filter(|i| bench.place_of(task(9, 0, *i)).is_some()).count();
+    while places(&bench) < 2 && bench.now.since(down) < 10_000 {
+        bench.report("b");
+        pass(&mut bench, &["a"], 6, 0);
+    }
+    assert!(bench.now.since(down) <= BOUND_MS, "it stood still for {} ms", bench.now.since(down));
+}
+
 /// A failure of the task that is tried would say little of the belief and cost its last attempt.
 #[test]
 fn task_that_has_not_failed_is_tried_before_one_that_has() {
