A job whose runs are lost has waited since its worker went down

Cause: the wait of a job began with the first plan that found no place for it, so each loss began it anew, after up to three seconds in which the job had stood still already. Users bear three seconds in all.

Change: with a loss in the log the wait of each job that had runs there begins when the worker was last known to live; if other runs of it go on, it does not stand still, as before.

--- a/crates/pond-job/src/lead/ends.rs
+++ b/crates/pond-job/src/lead/ends.rs
@@ -6,6 +6,7 @@
 use pond_proto::job::{How, RunName};
 use pond_proto::{Millis, Span};
 
+use super::wait::Wait;
 use super::worker::Worker;
 use super::{Decision, Leader, Lost, Output, PROPOSE_AGAIN_MS};
 use crate::change::{Change, End};
@@ -18,6 +19,8 @@
     /// When it was last proposed.
     at: Millis,
     why: Lost,
+    /// When the worker was last known to live.
+    lived: Millis,
     /// The runs that had their place there.
     last: Vec<Last>,
     blame: Vec<Blame>,
@@ -156,6 +159,7 @@
         let ended = tried.map(|tried| tried.why).filter(|why| *why != Lost::Silent);
         let why = ended.unwrap_or(why);
         let clocked = self.workers.get(life).map_or(self.since, |worker| worker.clocked);
+        let lived = tried.map_or(clocked, |tried| tried.lived);
         let silent_ms = now.since(clocked);
         let worker = life.to_owned();
         let runs: Vec<Last> = last
@@ -170,7 +174,7 @@
             Some(tried) if tried.why == why => tried.blame.clone(),
             _ => self.judge(state, now, &agent, why, &last),
         };
-        let loss = Loss { at: now, why, last, blame: blame.clone() };
+        let loss = Loss { at: now, why, lived, last, blame: blame.clone() };
         self.losing.insert(worker.clone(), loss);
         let runs = runs.into_iter().map(|last| (last.run, last.lived_ms)).collect();
         let decision = Decision::WorkerLost { worker: worker.clone(), why, silent_ms, runs };
@@ -179,6 +183,18 @@
         self.outputs.push(Output::Propose(Change::WorkerLost { worker, saves, over, blame }));
     }
 
+    /// A loss is in the log: the jobs of its runs have stood still since the worker was last known to live, unless
+    /// others of their runs go on.
+    pub(super) fn note_lost(&mut self, state: &State, now: Millis, life: &str) {
+        let Some(loss) = self.losing.remove(life) else { return };
+        let jobs: BTreeSet<u64> = loss.last.iter().map(|last| last.run.task.job).collect();
+        for id in jobs {
+            if state.job(id).is_some_and(|job| !job.phase.ended()) {
+                self.waits.entry(id).or_insert_with(|| Wait::stopped(now, loss.lived));
+            }
+        }
+    }
+
     /// The agent beside a life; empty if it is not known any more.
     fn agent_of(&self, state: &State, life: &str) -> String {
         let known = self.workers.get(life).map(|worker| worker.agent.as_str());
--- a/crates/pond-job/src/lead/mod.rs
+++ b/crates/pond-job/src/lead/mod.rs
@@ -242,7 +242,7 @@
                 }
             }
             Change::WorkerLost { worker, .. } => {
-                self.losing.remove(worker);
+                self.note_lost(state, now, worker);
                 self.touch(worker);
                 self.drop_lost_runs(state);
             }
--- a/crates/pond-job/src/lead/wait.rs
+++ b/crates/pond-job/src/lead/wait.rs
@@ -43,6 +43,11 @@
         Wait { since, still: Some(since), logged: now }
     }
 
+    /// Of a job whose runs went down with a worker that was last known to live then.
+    pub fn stopped(now: Millis, lived: Millis) -> Wait {
+        Wait { since: lived, still: Some(lived), logged: now }
+    }
+
     /// For how long nothing of the job has run, in milliseconds.
     pub fn still_ms(&self, now: Millis) -> Span {
         self.still.map_or(0, |since| now.since(since))
--- a/crates/pond-job/tests/beliefs.rs
+++ b/crates/pond-job/tests/beliefs.rs
@@ -278,6 +278,27 @@
     assert!(bench.now.since(down) <= BOUND_MS, "it stood still for {} ms", bench.now.since(down));
 }
 
+/// Guards against a job that is lost with its worker and then has its patience before it once more: it has stood still
+/// since the worker went down.
+#[test]
+fn job_whose_runs_are_lost_has_stood_still_since_its_worker_went_down() {
+    let mut bench = known_as_loud().with_vm("b", 3_200);
+    bench.submit_batch(9, vec![filling("loud", 1)]);
+    bench.settle();
+    for _ in 0..6 {
+        pass(&mut bench, &["a", "b"], 6, 0);
+    }
+    let down = bench.now;
+    for _ in 0..4 {
+        pass(&mut bench, &["a"], 6, 0);
+    }
+    bench.add_life("agent-of-b", "b-2", 100);
+    while bench.place_of(task(9, 0, 0)).as_deref() != Some("a") && bench.now.since(down) < 10_000 {
+        pass(&mut bench, &["a", "b-2"], 6, 0);
+    }
+    assert!(bench.now.since(down) <= BOUND_MS, "it stood still for {} ms", bench.now.since(down));
+}
+
 /// A failure of the task that is tried would say little of the belief and cost its last attempt.
 #[test]
 fn task_that_has_not_failed_is_tried_before_one_that_has() {
