Waits do not count while all that is left of a job is placed on workers that are down

An order was confirmed there; until the worker is back or its lease is over nobody can tell a dead worker from one that is cut off, and a second run would break a promise.

So just that is left out, and only while the worker is down: the wait begins anew when it is back, or counts as soon as the loss is in the log. A job that has anything else to start counts, as does one that waits for room.

--- a/crates/pond-job/tests/world/watch.rs
+++ b/crates/pond-job/tests/world/watch.rs
@@ -178,6 +178,9 @@
                 if !(idle || step.lasting) || !job.turn(0, step_index) || !self.fits(id, step) {
                     continue;
                 }
+                if self.hidden(id, job) {
+                    continue;
+                }
                 for task in open_tasks(id, job, step_index) {
                     if idle {
                         waiting.push(Waiter::Job(id));
@@ -191,6 +194,20 @@
         waiting
     }
 
+    /// Whether all that is left of a job has its place on workers that are down: nobody can know before they are back, or
+    /// their leases are over, that nothing of it runs, and there is nothing else of it to start.
+    fn hidden(&self, id: u64, job: &Job) -> bool {
+        let down = self.machines.iter().filter(|machine| machine.worker.is_none());
+        let down: Vec<String> = down.map(|machine| format!("{}-", machine.name)).collect();
+        let mut places = job.places(id).peekable();
+        let waits = (0..job.spec.steps.len())
+            .filter(|step| job.turn(0, *step))
+            .any(|step| job.times[0][step].iter().any(pond_job::Task::waits));
+        !waits
+            && places.peek().is_some()
+            && places.all(|(_, life)| down.iter().any(|name| life.starts_with(name)))
+    }
+
     fn away_long(&self, task: TaskName) -> bool {
         let ran = self.watch.ran.get(&task);
         ran.is_none_or(|at| self.now.since(*at) >= LASTING_AFTER_MS)
