A cancelled job may be the cause of a loss all the same

Cause: the worker went down under job 8, which crashes its workers; job 8 was cancelled while the worker was down, and what had ended was left out of what may have caused the loss. So the only other job that had just begun there was proven to be the cause.

Change: runs of jobs that have ended stay among the possible causes; nothing is held against them. A task that is done is none, as before. New test in suspicion.rs: Proven before, Suspected now.

--- a/crates/pond-job/src/lead/blame.rs
+++ b/crates/pond-job/src/lead/blame.rs
@@ -61,7 +61,8 @@
 /// What is known of a lost life, for the judgement of what ran there.
 struct Case<'a> {
     why: Lost,
-    /// The runs that may have caused the loss, with how long the worker had lived on with each.
+    /// The runs that may have caused the loss, with how long the worker had lived on with each; also those of jobs
+    /// that have ended since, as by a cancel.
     there: Vec<(&'a Last, Span)>,
     /// Several other workers went down at about the same time.
     together: bool,
@@ -140,7 +141,8 @@
                 blame
             })
         };
-        case.there.iter().filter_map(blame).collect()
+        // Nothing is held against what has ended, but it may be the cause all the same.
+        case.there.iter().filter(|(last, _)| goes_on(state, last.run)).filter_map(blame).collect()
     }
 
     /// What may have caused a loss besides each task that had just begun there.
@@ -165,7 +167,7 @@
         begun: impl Iterator<Item = &'a (&'a Last, Span)>,
     ) -> f64 {
         let window = |(last, _): &(&Last, Span)| {
-            let clears_ms = state.suspicion(last.run).map(Suspicion::clears_at_ms);
+            let clears_ms = state.held(last.run).map(Suspicion::clears_at_ms);
             cause::window_ms(last.met, clears_ms.unwrap_or(SURVIVED_MS))
         };
         let window_ms = begun.map(window).max().unwrap_or(SURVIVED_MS);
@@ -185,12 +187,9 @@
         why: Lost,
         last: &'a [Last],
     ) -> Case<'a> {
-        let goes_on = |last: &&Last| {
-            let job = state.job(last.run.task.job).filter(|job| !job.phase.ended());
-            job.and_then(|job| job.task(last.run.task)).is_some_and(|task| !task.done)
-        };
         let lived = |last: &'a Last| Some((last, last.lived_ms.filter(|ms| *ms < BLAMED_MS)?));
-        let there: Vec<(&Last, Span)> = last.iter().filter(goes_on).filter_map(lived).collect();
+        let open = |last: &&Last| !is_done(state, last.run);
+        let there: Vec<(&Last, Span)> = last.iter().filter(open).filter_map(lived).collect();
         let together = self.losses.others(now, agent);
         // A leader that has just come to lead may be so because everything lost its power.
         let alone = !together && now.since(self.since) >= KNOWN_MS;
@@ -199,7 +198,7 @@
         };
         let likely: BTreeSet<RunName> =
             there.iter().filter(likely).map(|(last, _)| last.run).collect();
-        let losses = |run: &RunName| state.suspicion(*run).map_or(0, |before| before.losses);
+        let losses = |run: &RunName| state.held(*run).map_or(0, |before| before.losses);
         let repeated = likely.iter().filter(|run| losses(run) >= REPEATED).copied().collect();
         Case { why, there, together, alone, likely, repeated }
     }
@@ -227,15 +226,26 @@
     }
 }
 
+/// Whether the task of a run is done.
+fn is_done(state: &State, run: RunName) -> bool {
+    let task = state.job(run.task.job).and_then(|job| job.task(run.task));
+    task.is_none_or(|task| task.done)
+}
+
+/// Whether the job of a run goes on.
+fn goes_on(state: &State, run: RunName) -> bool {
+    state.job(run.task.job).is_some_and(|job| !job.phase.ended())
+}
+
 /// How likely the task of a run takes down its workers, as far as its losses tell.
 fn probability_of(state: &State, run: RunName) -> Option<f64> {
-    state.suspicion(run)?.probability
+    state.held(run)?.probability
 }
 
 /// Whether a run with which its worker had lived on for so long may have taken it down: it had just begun, or
 /// has not cleared its task yet.
 fn just_begun(state: &State, run: RunName, lived_ms: Span) -> bool {
-    let suspicion = state.suspicion(run).filter(|suspicion| suspicion.suspect);
+    let suspicion = state.held(run).filter(|suspicion| suspicion.suspect);
     let uncleared = suspicion.is_some_and(|suspicion| lived_ms < suspicion.clears_at_ms());
     lived_ms < SURVIVED_MS || uncleared
 }
--- a/crates/pond-job/src/state/mod.rs
+++ b/crates/pond-job/src/state/mod.rs
@@ -99,9 +99,14 @@
 
     /// What is held against the task of a run, if the run is the task's newest and its job goes on.
     pub fn suspicion(&self, run: RunName) -> Option<&Suspicion> {
-        let job = self.job(run.task.job).filter(|job| !job.phase.ended())?;
-        let task = job.task(run.task).filter(|task| task.run == run.number)?;
-        task.suspicion.as_deref()
+        self.job(run.task.job).filter(|job| !job.phase.ended())?;
+        self.held(run)
+    }
+
+    /// The same, whether its job goes on or has ended.
+    pub fn held(&self, run: RunName) -> Option<&Suspicion> {
+        let task = self.job(run.task.job)?.task(run.task);
+        task.filter(|task| task.run == run.number)?.suspicion.as_deref()
     }
 
     /// What of the ends and unstarted runs of a worker is news here; the rest was applied before.
--- a/crates/pond-job/tests/suspicion.rs
+++ b/crates/pond-job/tests/suspicion.rs
@@ -280,6 +280,21 @@
     assert_eq!(verdicts(&bench).len(), 1);
 }
 
+/// Guards against a bystander that is proven to have taken down its worker, as the task that did was cancelled before the
+/// loss was told.
+#[test]
+fn cancelled_job_may_be_the_cause_of_a_loss_all_the_same() {
+    let mut bench = Bench::new().with_vm("a", 4_000);
+    bench.submit(1, vec![step(1, 1_000)]);
+    bench.submit(2, vec![step(1, 1_000)]);
+    bench.settle();
+    let runs: Vec<(RunName, u32)> = bench.started("a").into_iter().map(|run| (run, 0)).collect();
+    assert_eq!(runs.len(), 2);
+    bench.cancel(2);
+    gone(&mut bench, "a", &runs, true, false);
+    assert_eq!(verdicts(&bench), [Verdict::Suspected]);
+}
+
 #[test]
 fn operators_are_told_of_each_loss_of_what_had_just_begun() {
     let told = |verdict, lived_ms| Blame::new(run(1), verdict, lived_ms).is_news();
