A task is not given up for the number of its losses against their odds

Cause: five losses of which three were likely convict, whatever their odds say.

Change: where the losses tell odds, their number convicts only at even odds or more. Five starts at which it had just begun still convict whatever is told, so the bound on tasks that crash at once is the same.

--- a/crates/pond-job/src/suspicion.rs
+++ b/crates/pond-job/src/suspicion.rs
@@ -37,10 +37,14 @@
 /// its caller the whole job, is taken for as bad as fifty workers more that go down.
 const CERTAIN: f64 = 0.98;
 
-/// With so many losses a task is given up for one proof, or if it was likely the cause of most of them, or if it
-/// had just begun at each: users bear five starts.
+/// With so many losses a task is given up for one proof, or if it was likely the cause of most of them, unless their odds
+/// say otherwise; or if it had just begun at each: users bear five starts.
 const LOSSES: u32 = 5;
 
+/// Where the losses tell how likely it takes down its workers, a task is given up by their number only if it is more
+/// likely than not, from 0 to 1.
+const EVEN: f64 = 0.5;
+
 /// So many of these losses it must have caused as likely as anything else.
 const LIKELY: u32 = 3;
 
@@ -150,7 +154,8 @@
     /// verdict: this is what bounds its starts on any history.
     pub fn convicts(&self) -> bool {
         let proven = self.proven >= PROVEN && self.losses >= LOSSES_WITH_PROOFS;
-        let likely = self.proven > 0 || self.likely >= LIKELY;
+        let odds = self.probability.is_none_or(|likely| likely >= EVEN);
+        let likely = odds && (self.proven > 0 || self.likely >= LIKELY);
         let certain =
             self.losses >= FEWEST && self.probability.is_some_and(|likely| likely >= CERTAIN);
         certain || proven || (self.losses >= LOSSES && likely) || self.begun >= LOSSES
--- a/crates/pond-job/tests/suspicion.rs
+++ b/crates/pond-job/tests/suspicion.rs
@@ -104,6 +104,26 @@
     assert_eq!(lost(&[0.6, 0.98]), Phase::Failed);
 }
 
+/// Guards against a bystander that is given up for the number of its losses, although their odds say that others took down
+/// its workers: one that lasts is beside many losses before it has lived for long enough to be cleared.
+#[test]
+fn task_is_not_given_up_by_the_number_of_its_losses_against_their_odds() {
+    let lost = |probability: f64| {
+        let mut state = state(vec![step(1, 100)]);
+        lose(&mut state, &[Verdict::Beside, Verdict::Beside, Verdict::Beside]);
+        for number in 4..=6 {
+            start(&mut state, number);
+            let blame = Blame::new(run(number), Verdict::Suspected, 3_000);
+            let blame = vec![blame.with_probability(probability)];
+            let worker = format!("life-{number}");
+            state.apply(Change::WorkerLost { worker, saves: vec![], over: true, blame });
+        }
+        phase(&state)
+    };
+    assert_eq!(lost(0.03), Phase::Running);
+    assert_eq!(lost(0.5), Phase::Failed);
+}
+
 #[test]
 fn lasting_task_is_given_up_as_well() {
     let mut state = state(vec![Step { lasting: true, ..step(1, 100) }]);
