Other work waits until a suspect has lived on: a scenario of its own

The mutation 'start other work beside a suspect' was noticed only by a test that is known to fail; with those left out nothing noticed it. begin_after with a job that has no losses fails with the mutation ([1, 2]) and passes without.

--- a/crates/pond-job/tests/suspicion.rs
+++ b/crates/pond-job/tests/suspicion.rs
@@ -378,6 +378,12 @@
     bench.started("a").iter().map(|run| run.task.job).collect()
 }
 
+/// Guards against work that is lost with a suspect and would share the blame.
+#[test]
+fn other_work_waits_until_a_suspect_has_lived_on() {
+    assert_eq!(begin_after(&[(1, Verdict::Suspected, 2), (2, Verdict::Suspected, 0)]), [1]);
+}
+
 /// Seen in the soak: a bystander of one loss joined what was likely the cause of two, again and again, until it was
 /// given up for five losses.
 #[test]
