A task that had just begun at several losses starts in isolation, however long it waits

Cause: after five failed starts a task is given up whatever the verdicts.

Change: the exemption holds for suspects of a single loss only, likely cause or not. The fifth failed start is thus next to no other suspect and no recent start.

--- a/crates/pond-job/src/lead/suspect.rs
+++ b/crates/pond-job/src/lead/suspect.rs
@@ -161,10 +161,12 @@
     /// Returns whether a task must be isolated at its start. A suspect of a single loss is most
     /// likely innocent, and there are many of them when many workers are lost, so after a long wait
     /// it starts with other work. So do gangs, which rarely find enough workers without recent
-    /// starts at the same time.
+    /// starts at the same time. A task that had just begun at several losses waits, whatever is
+    /// known of their causes: it is given up for failed starts alone, so these must not all be
+    /// starts next to the same culprit.
     pub(super) fn needs_isolation(&self, now: Millis, group: &Group<'_>, index: usize) -> bool {
         let Some(suspect) = self.suspect(now, group, index) else { return false };
-        let may_share = group.step.gang || suspect.suspicion.likely <= 1;
+        let may_share = group.step.gang || !suspect.suspicion.is_repeat_suspect();
         !may_share || suspect.waited_ms < MAX_SOLO_WAIT_MS
     }
 
--- a/crates/pond-job/tests/suspects.rs
+++ b/crates/pond-job/tests/suspects.rs
@@ -80,6 +80,10 @@
 /// The same where hardly anything is reported about lost workers.
 const UNREPORTED_INNOCENT_SEEDS: [u64; 2] = [141, 1642];
 
+/// Seeds in which several innocent tasks were given up together, or one after starts next to the
+/// same culprit, where hardly anything is reported about lost workers.
+const UNREPORTED_BATCH_SEEDS: [u64; 6] = [20670, 21397, 23081, 24942, 25564, 30116];
+
 /// Seeds in which a job waited for too long after the last fault.
 const WAITING_SEEDS: [u64; 13] =
     [223, 308, 374, 407, 521, 587, 787, 837, 839, 975, 983, 1266, 1874];
@@ -265,6 +269,12 @@
     assert_eq!(waits, 0, "waits beyond {MAX_WAIT_MS} ms");
 }
 
+/// Returns the innocent tasks that were given up, by seed.
+fn with_innocent(outcomes: &[Outcome]) -> Vec<(u64, &[TaskName])> {
+    let given_up = outcomes.iter().filter(|outcome| !outcome.innocent.is_empty());
+    given_up.map(|outcome| (outcome.seed, outcome.innocent.as_slice())).collect()
+}
+
 fn innocent_given_up(only_task_crashes: bool) -> Vec<(u64, TaskName)> {
     let cases =
         OUTCOMES.iter().filter(|outcome| has_only_task_crashes(outcome.seed) == only_task_crashes);
@@ -318,6 +328,13 @@
     assert!(innocent.is_empty(), "innocent tasks given up, by seed: {innocent:?}");
 }
 
+/// Guards against innocent tasks that are given up after five starts, all of them next to the same
+/// culprit.
+#[test]
+fn no_innocent_task_is_given_up_for_starts_next_to_the_same_culprit() {
+    assert_eq!(with_innocent(&UNREPORTED_BATCH_SEEDS.map(simulate_unreported)), []);
+}
+
 /// Guards against jobs that are starved although twice the room that they need is free: held back
 /// by a run on a worker that is down, by a wait that each loss restarts, by repeated moves, or
 /// because workers are in backoff.
