Work that has failed once is force-placed where faulty jobs explain the backoffs of all workers

A gang with one attempt left is not placed on a worker in backoff or being probed for 20 s, and no other worker was left. Ruled out: lack of room, isolation of suspects, a wait that began anew (its counts name Backoff and Probing only).

Change: the leader remembers for each job on which workers it has failed and whether it has succeeded; a job that failed on two and succeeded on none is faulty. Where no healthy worker can take overdue work, a worker whose backoffs are explained by faulty jobs, or by that job itself, takes it although a failure would cost its last attempt. Everything else about backoffs is as it was.

Why it works: what fails everywhere says nothing about the worker. Where the failures may lie with the worker (a single worker, or a job that succeeded elsewhere) the last attempt is still spared.

--- a/crates/pond-job/src/lead/ends.rs
+++ b/crates/pond-job/src/lead/ends.rs
@@ -340,13 +340,17 @@
         let Some(agent) = self.workers.get(incarnation).map(|worker| worker.agent.clone()) else {
             return;
         };
-        let health = self.health.entry(agent).or_default();
+        let health = self.health.entry(agent.clone()).or_default();
         for end in ends {
             self.unwanted.remove(&end.run);
             match end.how {
-                EndReason::Done => health.record_success(),
+                EndReason::Done => {
+                    health.record_success();
+                    self.failures.record_success(end.run.task.job);
+                }
                 EndReason::Failed => {
                     health.record_failure(now, end.run.task.job);
+                    self.failures.record_failure(end.run.task.job, &agent);
                     self.avoided.entry(end.run.task).or_default().insert(incarnation.to_owned());
                 }
                 _ => {}
--- a/crates/pond-job/src/lead/health.rs
+++ b/crates/pond-job/src/lead/health.rs
@@ -21,6 +21,8 @@
 #[derive(Debug, Default)]
 pub struct Health {
     failed_jobs: BTreeSet<u64>,
+    /// Jobs whose failures led to the backoffs since the last success.
+    blamed_jobs: BTreeSet<u64>,
     last_failure: Millis,
     backoff_ms: Span,
     backoff_until: Millis,
@@ -31,6 +33,7 @@
     /// Records a successful run.
     pub fn record_success(&mut self) {
         self.failed_jobs.clear();
+        self.blamed_jobs.clear();
         self.backoff_ms = 0;
         self.probing = false;
     }
@@ -54,11 +57,17 @@
         }
         self.backoff_ms = (self.backoff_ms * 2).clamp(FIRST_BACKOFF_MS, MAX_BACKOFF_MS);
         self.backoff_until = now + self.backoff_ms;
-        self.failed_jobs.clear();
+        self.blamed_jobs.append(&mut self.failed_jobs);
         self.probing = true;
         Some(self.backoff_ms)
     }
 
+    /// Returns whether the worker appears unhealthy only because of jobs that would fail on any
+    /// worker, or of `job` itself.
+    pub fn is_explained(&self, job: u64, faulty: impl Fn(u64) -> bool) -> bool {
+        self.blamed_jobs.iter().all(|blamed| *blamed == job || faulty(*blamed))
+    }
+
     /// Returns whether the worker gets no work.
     pub fn in_backoff(&self, now: Millis) -> bool {
         now < self.backoff_until
--- a/crates/pond-job/src/lead/mod.rs
+++ b/crates/pond-job/src/lead/mod.rs
@@ -18,6 +18,7 @@
 mod ends;
 mod evacuation;
 mod evict;
+mod failures;
 mod health;
 mod hypothesis;
 mod image;
@@ -53,6 +54,7 @@
 use cache::Cache;
 use duration::Durations;
 use ends::Loss;
+use failures::Failures;
 use health::Health;
 use interference::Interference;
 use wait::Wait;
@@ -89,6 +91,8 @@
     workers: BTreeMap<String, Worker>,
     /// Health of workers, by agent. It persists across incarnations.
     health: BTreeMap<String, Health>,
+    /// How the runs of the jobs have ended.
+    failures: Failures,
     /// When the pending start proposal was made, if there is one.
     start_proposed_at: Option<Millis>,
     /// Incarnations whose loss is proposed. They get no orders until the loss is committed: a run
@@ -145,6 +149,7 @@
             timing,
             workers: BTreeMap::new(),
             health: BTreeMap::new(),
+            failures: Failures::default(),
             start_proposed_at: None,
             proposed_losses: BTreeMap::new(),
             last_reports: BTreeMap::new(),
@@ -370,6 +375,7 @@
         // If the proposal is lost, it is made again after another retention period.
         self.ended.extend(expired.iter().map(|id| (*id, now)));
         self.avoided.retain(|task, _| !expired.contains(&task.job));
+        self.failures.retain(|job| !expired.contains(&job));
         self.adviser.forget(|job| expired.contains(&job));
         self.outputs.push(Output::Propose(Change::Forget(expired)));
     }
--- a/crates/pond-job/src/lead/overdue.rs
+++ b/crates/pond-job/src/lead/overdue.rs
@@ -208,7 +208,8 @@
     /// expected use of serving tasks. Whether a worker is unhealthy is judged by comparison: where
     /// no healthy worker can take the task, jobs that can never be done are as likely a cause, and
     /// a worker that is probed with a long run may be healthy during all of it. Only a task that
-    /// has never failed is placed there, which costs it one attempt at most.
+    /// has never failed is placed there, which costs it one attempt at most, unless jobs that fail
+    /// wherever they run explain why the worker appears unhealthy.
     fn ignored_obstacles(
         &self,
         now: Millis,
@@ -219,15 +220,11 @@
     ) -> Vec<Obstacle> {
         let mut ignored_obstacles: Vec<Obstacle> =
             tolerance.uses_reserved.then_some(Obstacle::Reserved).into_iter().collect();
-        let failed = group.tasks().get(task.index as usize).is_some_and(|task| task.failures > 0);
-        let keeps_attempts = (failed || group.job.max_attempts < 2) && !tolerance.spends_attempts;
-        let healthy = |candidate: &Candidate| {
-            candidate.admits(&group.job.pool, task, group.step, &[Obstacle::Reserved])
-                && !self.lacks_ticket(now, group, task, &candidate.incarnation)
-        };
-        if candidates.iter().any(healthy) {
+        if self.admitted_by_healthy(now, group, task, candidates) {
             return ignored_obstacles;
         }
+        let failed = group.tasks().get(task.index as usize).is_some_and(|task| task.failures > 0);
+        let keeps_attempts = (failed || group.job.max_attempts < 2) && !tolerance.spends_attempts;
         if !keeps_attempts {
             ignored_obstacles.extend(UNHEALTHY);
         }
@@ -239,6 +236,28 @@
         ignored_obstacles
     }
 
+    /// Returns whether a healthy worker can take the task.
+    fn admitted_by_healthy(
+        &self,
+        now: Millis,
+        group: &Group<'_>,
+        task: TaskName,
+        candidates: &[Candidate],
+    ) -> bool {
+        candidates.iter().any(|candidate| {
+            candidate.admits(&group.job.pool, task, group.step, &[Obstacle::Reserved])
+                && !self.lacks_ticket(now, group, task, &candidate.incarnation)
+        })
+    }
+
+    /// Returns whether a worker appears unhealthy only because of jobs that fail wherever they run,
+    /// or of this one, so that a task that has failed before is not at risk there.
+    fn is_health_explained(&self, group: &Group<'_>, candidate: &Candidate) -> bool {
+        let health = self.health.get(&candidate.agent);
+        health
+            .is_some_and(|health| health.is_explained(group.id, |job| self.failures.is_faulty(job)))
+    }
+
     /// Returns the index of the candidate with the least expected interference, however high it is.
     /// Candidates on which the task has not failed are preferred.
     fn least_interference(
@@ -250,10 +269,17 @@
         candidates: &[Candidate],
     ) -> Option<usize> {
         let ignored_obstacles = self.ignored_obstacles(now, group, task, tolerance, candidates);
+        let despite_health: Vec<Obstacle> =
+            ignored_obstacles.iter().copied().chain(UNHEALTHY).collect();
+        let healthy = self.admitted_by_healthy(now, group, task, candidates);
         let suspect = group.tasks().get(task.index as usize).is_some_and(Task::is_suspect);
         let suitable = |candidate: &Candidate| {
             let lacking = self.lacks_ticket(now, group, task, &candidate.incarnation);
-            let admitted = candidate.admits(&group.job.pool, task, group.step, &ignored_obstacles);
+            let ignored = match !healthy && self.is_health_explained(group, candidate) {
+                true => &despite_health,
+                false => &ignored_obstacles,
+            };
+            let admitted = candidate.admits(&group.job.pool, task, group.step, ignored);
             admitted && candidate.forced < tolerance.max_forced && !lacking
         };
         let avoided = self.avoided.get(&task);
--- a/crates/pond-job/tests/suspects.rs
+++ b/crates/pond-job/tests/suspects.rs
@@ -95,6 +95,9 @@
 const WAITING_SEEDS: [u64; 13] =
     [223, 308, 374, 407, 521, 587, 787, 837, 839, 975, 983, 1266, 1874];
 
+/// Further seeds in which a job waited for too long.
+const FURTHER_WAITING_SEEDS: [u64; 5] = [21345, 21671, 22771, 23472, 31180];
+
 /// The results of one seed.
 struct Outcome {
     seed: u64,
@@ -360,3 +363,10 @@
         outcomes.iter().map(waits).filter(|(_, waits)| !waits.is_empty()).collect();
     assert!(failing.is_empty(), "waits beyond {MAX_WAIT_MS} ms: {failing:#?}");
 }
+
+/// Guards against the same with further seeds.
+#[test]
+fn no_job_waits_for_long_with_further_seeds_in_which_one_did() {
+    let waits = FURTHER_WAITING_SEEDS.map(simulate).map(|outcome| outcome.waits);
+    assert_eq!(waits.concat(), Vec::<String>::new());
+}
--- a/crates/pond-job/tests/unhealthy.rs
+++ b/crates/pond-job/tests/unhealthy.rs
@@ -66,9 +66,11 @@
 }
 
 fn waits_ms(harness: &mut Harness, job: u64) -> u64 {
+    let incarnations: Vec<String> = harness.vms.keys().cloned().collect();
+    let incarnations: Vec<&str> = incarnations.iter().map(String::as_str).collect();
     let from = harness.now;
     while harness.now.since(from) < 60_000 && harness.worker_of(task(job, 0, 0)).is_none() {
-        advance(harness, &["a", "b"]);
+        advance(harness, &incarnations);
     }
     harness.now.since(from)
 }
@@ -111,6 +113,59 @@
     assert!(waited_ms <= MAX_WAIT_MS, "{waited_ms}");
 }
 
+/// Returns how long job 13 waits after it has failed once, in milliseconds. All workers are then in
+/// backoff for the second time, since jobs 11 and 12 have failed on each; the first of them may have
+/// succeeded before.
+fn failed_job_waits_ms(incarnations: &[&str], succeeded: bool) -> u64 {
+    let mut harness = Harness::new();
+    incarnations.iter().for_each(|incarnation| harness.add_vm(incarnation, 32_000));
+    let tasks = 3 * incarnations.len() as u32;
+    harness.submit(11, vec![step(1, 1_000), one_each(tasks)]);
+    harness.submit(12, vec![one_each(tasks)]);
+    harness.run_until_idle();
+    advance(&mut harness, incarnations);
+    if succeeded {
+        let incarnation = harness.worker_of(task(11, 0, 0)).expect("the task is placed");
+        harness.end(&incarnation, run(11, 1), EndReason::Done);
+    }
+    fail_all(&mut harness, incarnations);
+    harness.submit(13, vec![step(1, 1_000)]);
+    waits_ms(&mut harness, 13);
+    fail_all(&mut harness, incarnations);
+    waits_ms(&mut harness, 13)
+}
+
+/// Lets all runs on these workers begin and fail.
+fn fail_all(harness: &mut Harness, incarnations: &[&str]) {
+    harness.run_until_idle();
+    advance(harness, incarnations);
+    for incarnation in incarnations {
+        let runs: Vec<RunName> = harness.vms[*incarnation].runs.keys().copied().collect();
+        fail(harness, incarnation, &runs);
+    }
+}
+
+fn one_each(tasks: u32) -> Step {
+    Step { max_per_worker: 1, ..step(tasks, 1_000) }
+}
+
+/// Guards against a job that has failed once and is starved although twice its room is free, because
+/// jobs that fail wherever they run have put all workers into backoff.
+#[test]
+fn failed_job_is_force_placed_where_faulty_jobs_caused_the_backoffs() {
+    let waited_ms = failed_job_waits_ms(&["a", "b"], false);
+    assert!(waited_ms <= MAX_WAIT_MS, "{waited_ms}");
+}
+
+/// The last attempt of a job is not spent on a worker that may be unhealthy: on the only worker, or
+/// after a success elsewhere, the failures of other jobs are no sign that the jobs are faulty.
+#[test]
+fn failed_job_is_not_force_placed_where_workers_may_have_caused_the_failures() {
+    for waited_ms in [failed_job_waits_ms(&["a"], false), failed_job_waits_ms(&["a", "b"], true)] {
+        assert!(waited_ms > MAX_WAIT_MS, "{waited_ms}");
+    }
+}
+
 /// Returns a worker with two jobs of one run each, whose agent reports for this many seconds what
 /// was last listed.
 fn stalled(answers: bool, seconds: u64) -> Harness {
