--- a/crates/pond-job/tests/suspects.rs
+++ b/crates/pond-job/tests/suspects.rs
@@ -87,6 +87,14 @@
     25913, 26096, 26362, 26676, 31413, 40446,
 ];
 
+/// Seeds in which an innocent task is on one lost worker after the other by coincidence: each was
+/// crashed by another task (21572), or by one of five power losses (43851).
+const COINCIDENCE_SEEDS: [u64; 2] = [21572, 43851];
+
+/// A seed in which a run begins after its task is done: a run of the task that was taken for lost
+/// has ended in the meantime.
+const LATE_BEGIN_SEED: u64 = 30390;
+
 /// Seeds in which several innocent tasks were given up together, or one after starts next to the
 /// same culprit, where hardly anything is reported about lost workers.
 const UNREPORTED_BATCH_SEEDS: [u64; 6] = [20670, 21397, 23081, 24942, 25564, 30116];
@@ -98,6 +106,9 @@
 /// Further seeds in which a job waited for too long.
 const FURTHER_WAITING_SEEDS: [u64; 5] = [21345, 21671, 22771, 23472, 31180];
 
+/// A seed in which two jobs with an adviser wait for too long.
+const ADVISED_WAITING_SEED: u64 = 30410;
+
 /// The results of one seed.
 struct Outcome {
     seed: u64,
@@ -345,6 +356,18 @@
     assert_eq!(with_innocent(&LATE_CULPRIT_SEEDS.map(simulate)), []);
 }
 
+/// Guards against an innocent task being given up because it has met several other causes in turn.
+#[test]
+fn no_innocent_task_is_given_up_for_coincidences() {
+    assert_eq!(with_innocent(&COINCIDENCE_SEEDS.map(simulate)), []);
+}
+
+/// Guards against a run that begins although its task is done.
+#[test]
+fn no_run_begins_after_its_task_is_done_with_the_seed_in_which_one_did() {
+    assert_eq!(simulate(LATE_BEGIN_SEED).violations, Vec::<String>::new());
+}
+
 /// Guards against innocent tasks that are given up after five starts, all of them next to the same
 /// culprit.
 #[test]
@@ -370,3 +393,9 @@
     let waits = FURTHER_WAITING_SEEDS.map(simulate).map(|outcome| outcome.waits);
     assert_eq!(waits.concat(), Vec::<String>::new());
 }
+
+/// Guards against jobs with an adviser that are starved although twice their room is free.
+#[test]
+fn no_advised_job_waits_for_long_with_the_seed_in_which_two_did() {
+    assert_eq!(simulate(ADVISED_WAITING_SEED).waits, Vec::<String>::new());
+}
