--- a/crates/pond-job/tests/causes.rs
+++ b/crates/pond-job/tests/causes.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use pond_job::{BLAME_WINDOW_MS, Change, Evidence, Exposure, Loss, Start, State};
+use pond_job::{BLAME_WINDOW_MS, Blame, Change, Evidence, Exposure, Loss, Start, State, Verdict};
 use pond_proto::Millis;
 use pond_proto::fleet::{Report, RunRow};
 use pond_proto::job::{EndReason, Phase, RunName};
@@ -28,7 +28,12 @@
 /// survived each, in milliseconds.
 fn crash(harness: &mut Harness, survived: &[(u64, u32)]) {
     harness.now = harness.now + INTERVAL_MS;
-    let (worker, agent) = (format!("worker-{}", harness.now.0), "agent".to_owned());
+    crash_of(harness, "agent", survived);
+}
+
+/// The same for the worker of an agent, at the current time.
+fn crash_of(harness: &mut Harness, agent: &str, survived: &[(u64, u32)]) {
+    let (worker, agent) = (format!("{agent}-{}", harness.now.0), agent.to_owned());
     let runs: Vec<(RunName, u32)> =
         survived.iter().map(|(job, ms)| (next_run(harness, *job), *ms)).collect();
     let start = |(run, _): &(RunName, u32)| Start {
@@ -49,14 +54,19 @@
     harness.run_until_idle();
 }
 
-/// Returns the probability of a job's task after the last loss.
-fn probability(harness: &Harness, job: u64) -> f64 {
+/// Returns how the last loss counted against the task of a job.
+fn last_blame(harness: &Harness, job: u64) -> Blame {
     let blames = harness.proposals.iter().filter_map(|change| match change {
         Change::WorkerLost { blame, .. } => Some(blame),
         _ => None,
     });
     let mut of_job = blames.flatten().filter(|blame| blame.run.task.job == job);
-    of_job.next_back().and_then(|blame| blame.probability).expect("the task was on a lost worker")
+    *of_job.next_back().expect("the task was on a lost worker")
+}
+
+/// Returns the probability of a job's task after the last loss.
+fn probability(harness: &Harness, job: u64) -> f64 {
+    last_blame(harness, job).probability.expect("the loss has a probability")
 }
 
 /// Guards against an innocent task being given up for losses that a task caused which crashes its
@@ -200,3 +210,17 @@
     let older = [&[head - 1], &bytes[1..tail]].concat();
     assert_eq!(State::decode(&older), Ok(state));
 }
+
+/// Other losses at the same time do not hide a culprit: a task that had just begun at several losses
+/// remains a likely cause, while another is merely co-located.
+#[test]
+fn repeat_suspect_is_a_likely_cause_also_beside_other_losses() {
+    let mut harness = waiting(5);
+    crash(&mut harness, &[(1, 0), (2, 0)]);
+    crash(&mut harness, &[(1, 0), (2, 0)]);
+    crash(&mut harness, &[(3, 5_000)]);
+    crash_of(&mut harness, "other", &[(4, 5_000)]);
+    crash_of(&mut harness, "third", &[(1, 0), (5, 0)]);
+    assert_eq!(last_blame(&harness, 1).verdict, Verdict::Suspected);
+    assert_eq!(last_blame(&harness, 5).verdict, Verdict::Beside);
+}
