Long-running tasks next to suspects: seeds whose histories still notice

Cause: with the histories shifted, the mutation 'never force-place long-running tasks on the worker of a suspect' was not noticed any more by the listed seeds of lasting.rs. Change: four seeds of 0 to 599 in which it shows, as a test: it fails with the mutation and passes without.

--- a/crates/pond-job/tests/lasting.rs
+++ b/crates/pond-job/tests/lasting.rs
@@ -43,6 +43,9 @@
 /// Seeds in which a long-running task was starved although there was room for it.
 const STARVED_SEEDS: [u64; 11] = [0, 79, 230, 343, 587, 634, 685, 745, 783, 886, 916];
 
+/// Seeds in which a long-running task is starved unless it may start next to a suspect.
+const CLOSED_SEEDS: [u64; 4] = [217, 226, 252, 275];
+
 /// Runs a seed and returns the tasks that waited for too long.
 fn simulate(seed: u64) -> (u64, Vec<String>) {
     let mut simulation = Simulation::new(seed);
@@ -106,3 +109,10 @@
 fn lost_long_running_task_is_started_again_with_the_seeds_in_which_one_was_starved() {
     check(&STARVED_SEEDS.map(simulate));
 }
+
+/// Guards against a long-running task that waits for a worker without suspects, of which there is
+/// none.
+#[test]
+fn lost_long_running_task_is_started_again_next_to_suspects() {
+    check(&CLOSED_SEEDS.map(simulate));
+}
