--- a/crates/pond-job/tests/suspects.rs
+++ b/crates/pond-job/tests/suspects.rs
@@ -82,9 +82,9 @@
 
 /// Further seeds in which an innocent task was given up, mostly because a worker was crashed late by
 /// another task just after the innocent one had started there.
-const LATE_CULPRIT_SEEDS: [u64; 19] = [
+const LATE_CULPRIT_SEEDS: [u64; 21] = [
     20707, 21459, 21955, 22723, 22891, 22945, 23661, 23842, 24638, 25130, 25367, 25413, 25439,
-    25913, 26096, 26362, 26676, 31413, 40446,
+    25913, 26096, 26362, 26676, 31413, 40446, 44361, 44424,
 ];
 
 /// Seeds in which an innocent task is on one lost worker after the other by coincidence: each was
