Starved jobs start next to suspects where no other worker is left

Ruled out: the adviser's permits; a lost wake-up. Change: a job that has been starved for 2.5 s where capacity is ample may start a task that is not a suspect next to suspects, and forced placements take such tasks first.

--- a/crates/pond-job/src/lead/overdue.rs
+++ b/crates/pond-job/src/lead/overdue.rs
@@ -71,6 +71,8 @@
     /// Whether a task may be placed on an unhealthy worker even if a failure there costs one of its
     /// last attempts.
     spends_attempts: bool,
+    /// Whether a task may be placed next to a suspect.
+    joins_suspects: bool,
 }
 
 /// A forced placement that is due.
@@ -101,6 +103,7 @@
             max_forced: if short && due_ms >= MAX_TURN_WAIT_MS { usize::MAX } else { MAX_FORCED },
             uses_reserved: short || spends_attempts,
             spends_attempts,
+            joins_suspects: ample && due_ms >= MAX_TURN_WAIT_MS,
         };
         Some(Placement { starved_ms, tolerance })
     }
@@ -228,7 +231,8 @@
         if !keeps_attempts {
             ignored_obstacles.extend(UNHEALTHY);
         }
-        if group.step.long_running {
+        let suspect = group.tasks().get(task.index as usize).is_some_and(Task::is_suspect);
+        if group.step.long_running || (tolerance.joins_suspects && !suspect) {
             // The next suspect may arrive as soon as one is cleared, so waiting for a worker
             // without suspects has no bound.
             ignored_obstacles.push(Obstacle::Suspect);
@@ -318,7 +322,11 @@
     if group.step.long_running {
         return waiting().map(next).collect();
     }
-    waiting().min_by_key(|(_, task)| task.failures).map(next).into_iter().collect()
+    waiting()
+        .min_by_key(|(_, task)| (task.is_suspect(), task.failures))
+        .map(next)
+        .into_iter()
+        .collect()
 }
 
 /// Returns whether a run is the newest of its task and is placed on a worker.
--- a/crates/pond-job/tests/suspects.rs
+++ b/crates/pond-job/tests/suspects.rs
@@ -95,6 +95,10 @@
 /// has ended in the meantime.
 const LATE_BEGIN_SEED: u64 = 30390;
 
+/// A seed in which a run begins on a worker where it is no longer placed: the worker held the start
+/// while its lease expired and its agent was replaced, and then got its next lease.
+const HELD_START_SEED: u64 = 22740;
+
 /// Seeds in which several innocent tasks were given up together, or one after starts next to the
 /// same culprit, where hardly anything is reported about lost workers.
 const UNREPORTED_BATCH_SEEDS: [u64; 6] = [20670, 21397, 23081, 24942, 25564, 30116];
@@ -368,6 +372,12 @@
     assert_eq!(simulate(LATE_BEGIN_SEED).violations, Vec::<String>::new());
 }
 
+/// Guards against a run that begins although it is placed elsewhere.
+#[test]
+fn no_run_begins_where_it_is_not_placed_with_the_seed_in_which_one_did() {
+    assert_eq!(simulate(HELD_START_SEED).violations, Vec::<String>::new());
+}
+
 /// Guards against innocent tasks that are given up after five starts, all of them next to the same
 /// culprit.
 #[test]
