Workers get their lease in parts, so that the work of a silent one soon runs elsewhere

Cause: the lease passed on with each list was the whole grant, 6 s on the fleet and 10 s elsewhere, so the runs of a worker that falls silent stood still for 6.4 s and more. It grows with the width of jobs: 6 % of the workers hold a task of more than half of all jobs of 13 tasks. Ruled out: a shorter grant (the replicas' loss of power, 2 s and an election, would end all runs); expiry judged by the leader from reports of the lease (a late report hides that it was extended). Change: the agent extends the lease by two thirds of the grant at a time, never beyond the grant, calls a silent worker earlier, and reports when all that the worker may hold is over on the slowest clock; it withdraws starts in transit and ignores starts of orders that do not know of that yet. The leader gives up the runs with that report.

--- a/crates/pond-agent/src/core/due.rs
+++ b/crates/pond-agent/src/core/due.rs
@@ -37,7 +37,9 @@
     /// Does the work that is due and returns the outputs to be carried out.
     pub fn tick(&mut self, now: Millis) -> Vec<Output> {
         if self.worker.is_some() {
+            self.check_lapse(now);
             if self.may_call() {
+                self.renew_if_due(now);
                 self.acknowledge();
                 self.call_due(now);
                 self.list_if_due(now);
@@ -76,6 +78,7 @@
     /// Returns when something is due without further input.
     pub fn due(&self, now: Millis) -> Millis {
         let mut due = self.reported_at + REPORT_INTERVAL_MS;
+        due = self.lease_due().map_or(due, |at| due.min(at));
         if !self.may_call() {
             return due.max(now);
         }
@@ -109,7 +112,7 @@
 
     /// Makes the call that is due for each run without a call in flight.
     fn call_due(&mut self, now: Millis) {
-        let lease_end_ms = self.lease_end_ms;
+        let lease_end_ms = self.extend_lease();
         let suspended = self.starts_suspended(now);
         let mut calls = Vec::new();
         for (name, run) in &mut self.runs {
@@ -174,7 +177,7 @@
     /// Requests a list that acknowledges nothing, and returns its ID.
     pub(super) fn request_list(&mut self, wait_ms: Span) -> u64 {
         self.last_list_id += 1;
-        let lease_end_ms = self.lease_end_ms;
+        let lease_end_ms = self.extend_lease();
         self.call(self.last_list_id, Call::List { lease_end_ms, committed: 0, wait_ms });
         self.last_list_id
     }
@@ -190,7 +193,7 @@
             return;
         }
         self.last_list_id += 1;
-        let (lease_end_ms, committed) = (self.lease_end_ms, self.committed);
+        let (lease_end_ms, committed) = (self.extend_lease(), self.committed);
         self.acknowledging = Some((self.last_list_id, committed));
         self.call(self.last_list_id, Call::List { lease_end_ms, committed, wait_ms: 0 });
     }
@@ -226,6 +229,7 @@
             clock_ms: self.clock_ms,
             responsive: self.has_listed
                 && !self.unreachable
+                && !self.lease.lapsed
                 && now.since(self.listed_at) < UNRESPONSIVE_MS,
             gone: false,
             runs: self.rows(),
@@ -234,6 +238,8 @@
             unstarted: self.unstarted.iter().copied().collect(),
             data_centre: worker.data_centre.clone(),
             remaining_ms: worker.remaining_ms,
+            lapsed: self.lease.lapsed,
+            lapses: self.lease.lapses,
         };
         self.outputs.push(Output::Report(report));
     }
--- /dev/null
+++ b/crates/pond-agent/src/core/lease.rs
@@ -0,0 +1,119 @@
+//! The lease that the worker holds.
+//!
+//! Control grants a lease for as long as the agent may be without it, which is long: leaders change.
+//! The worker gets it in shorter parts, each beyond its last known clock, for as long as the agent
+//! can renew them. So a worker that falls silent holds a short lease only, and once that has expired
+//! its runs can be placed elsewhere, while an agent without control goes on renewing up to the end
+//! of the grant.
+
+use pond_proto::{Millis, Span};
+
+use super::Core;
+
+/// Maximum rate by which the worker's clock may run slow, in thousandths.
+const CLOCK_DRIFT_PERMILLE: Span = 25;
+
+/// Added before the lease counts as expired, in milliseconds, because timers may fire late.
+const EXPIRY_SLACK_MS: Span = 250;
+
+/// A silent worker is first called after this part of an extension. Healthy workers answer before.
+const RENEWALS: Span = 3;
+
+/// Time between calls to a silent worker that extend its lease, in milliseconds. Some workers leave
+/// single calls unanswered.
+const RENEW_RETRY_MS: Span = 400;
+
+/// What the worker may hold of the lease granted by control.
+#[derive(Debug, Default)]
+pub(super) struct Lease {
+    /// End of the grant, on the worker's clock in milliseconds.
+    pub granted_ms: u64,
+    /// How far beyond its last known clock it is extended at a time, in milliseconds; zero for as
+    /// far as the grant goes.
+    extension_ms: Span,
+    /// The latest end that the worker may hold, on its clock in milliseconds; `None` until control
+    /// has granted one. A previous process of this agent may have passed on any former grant, none
+    /// of which ends later than the first one that this process receives.
+    held_ms: Option<u64>,
+    /// When the last call was made to renew it.
+    renewed_at: Millis,
+    /// Whether it has certainly expired.
+    pub lapsed: bool,
+    /// How often it has.
+    pub lapses: u32,
+}
+
+impl Lease {
+    /// Records a grant.
+    pub fn grant(&mut self, granted_ms: u64, extension_ms: Span) {
+        self.granted_ms = granted_ms.max(self.granted_ms);
+        self.extension_ms = extension_ms;
+        self.held_ms.get_or_insert(self.granted_ms);
+    }
+
+    /// Returns the end to pass on to the worker, whose clock was last read as `clock_ms`.
+    fn extend(&mut self, clock_ms: u64) -> u64 {
+        let end_ms = match self.extension_ms {
+            0 => self.granted_ms,
+            extension_ms => self.granted_ms.min(clock_ms + extension_ms),
+        };
+        self.held_ms = self.held_ms.map(|held_ms| held_ms.max(end_ms));
+        end_ms
+    }
+
+    /// Returns when the lease has certainly expired if the clock, read as `clock_ms` at `read_at`,
+    /// is not read again; `None` if that is not known.
+    fn expiry(&self, clock_ms: u64, read_at: Millis) -> Option<Millis> {
+        let left_ms = self.held_ms?.saturating_sub(clock_ms);
+        let drift_ms = left_ms * CLOCK_DRIFT_PERMILLE / 1_000;
+        (self.extension_ms > 0).then(|| read_at + left_ms + drift_ms + EXPIRY_SLACK_MS)
+    }
+
+    /// Returns when a silent worker is called to renew its lease; `None` if it is not.
+    fn renewal(&self, read_at: Millis) -> Option<Millis> {
+        let due = read_at + self.extension_ms / RENEWALS;
+        (self.extension_ms > 0).then(|| due.max(self.renewed_at + RENEW_RETRY_MS))
+    }
+}
+
+impl Core {
+    /// Returns the end of the lease to pass on to the worker.
+    pub(super) fn extend_lease(&mut self) -> u64 {
+        self.lease.extend(self.clock_ms)
+    }
+
+    /// Calls a worker that has been silent for a while, so that a single call without an answer
+    /// does not end its lease.
+    pub(super) fn renew_if_due(&mut self, now: Millis) {
+        if !self.lease.lapsed && self.lease.renewal(self.clock_read_at).is_some_and(|at| now >= at)
+        {
+            self.lease.renewed_at = now;
+            self.request_list(0);
+        }
+    }
+
+    /// Finds out whether the lease of the worker has expired. Starts that the worker has not
+    /// confirmed are then withdrawn: control places them elsewhere.
+    pub(super) fn check_lapse(&mut self, now: Millis) {
+        let expiry = self.lease.expiry(self.clock_ms, self.clock_read_at);
+        let lapsed = expiry.is_some_and(|at| now >= at);
+        if lapsed == self.lease.lapsed {
+            return;
+        }
+        self.lease.lapsed = lapsed;
+        self.report_now = true;
+        if lapsed {
+            self.lease.lapses += 1;
+            self.cancel_starts(now);
+        }
+    }
+
+    /// Returns when the lease of the worker or its renewal needs attention.
+    pub(super) fn lease_due(&self) -> Option<Millis> {
+        if self.lease.lapsed {
+            return None;
+        }
+        let expiry = self.lease.expiry(self.clock_ms, self.clock_read_at)?;
+        Some(self.lease.renewal(self.clock_read_at).map_or(expiry, |renewal| expiry.min(renewal)))
+    }
+}
--- a/crates/pond-agent/src/core/mod.rs
+++ b/crates/pond-agent/src/core/mod.rs
@@ -12,6 +12,7 @@
 mod answers;
 mod claim;
 mod due;
+mod lease;
 mod previous;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -25,6 +26,7 @@
 use crate::worker::Call;
 
 use claim::Claim;
+use lease::Lease;
 use previous::PreviousIncarnation;
 
 /// Number of ended incarnations that are remembered, the newest. Their registrations can still
@@ -155,8 +157,8 @@
     term: u64,
     /// The highest fencing token that a worker refused as too low. Zero for none.
     refused_token: u64,
-    /// End of the granted lease, on the worker's clock in milliseconds.
-    lease_end_ms: u64,
+    /// The lease of the worker.
+    lease: Lease,
     /// Ends up to this number are committed in the log.
     committed: u64,
     /// Ends up to this number were acknowledged to the worker, which may forget them.
@@ -345,7 +347,7 @@
             return;
         }
         self.term = order.term;
-        self.lease_end_ms = self.lease_end_ms.max(order.lease_end_ms);
+        self.lease.grant(order.lease_end_ms, order.extension_ms);
         self.commit_ends(now, order.committed);
         for run in &order.forget {
             self.unstarted.remove(run);
@@ -355,7 +357,10 @@
                 run.watch = Some(watch.clone());
             }
         }
-        for start in order.starts {
+        // Control may have sent the others before it learned that the lease has expired, and
+        // counts them as lost.
+        let current = order.lapses == self.lease.lapses;
+        for start in order.starts.into_iter().filter(|_| current) {
             self.start(now, start);
         }
         for run in order.stops {
--- a/crates/pond-job/src/lead/ends.rs
+++ b/crates/pond-job/src/lead/ends.rs
@@ -125,6 +125,15 @@
         }
     }
 
+    /// Gives up the runs of a worker whose lease has certainly expired according to its agent.
+    pub(super) fn lose_lapsed(&mut self, state: &State, now: Millis, incarnation: &str) {
+        let has_runs = state.placed(incarnation).next().is_some();
+        // A run that was taken over depends on the lease of the incarnation that runs it.
+        if has_runs && self.successor_clock(state, incarnation).is_none() {
+            self.propose_lost(state, now, incarnation, LossKind::Silent, None);
+        }
+    }
+
     /// Gives up workers whose lease has certainly expired.
     pub(super) fn expire_leases(&mut self, state: &State, now: Millis) {
         let lease_expiry_ms = self.timing.lease_expiry_ms();
--- a/crates/pond-job/src/lead/mod.rs
+++ b/crates/pond-job/src/lead/mod.rs
@@ -205,6 +205,9 @@
         self.watch_progress(state, now, &incarnation, &report);
         self.clear_survivors(state, now, &report);
         self.touch(&incarnation);
+        if report.lapsed {
+            self.lose_lapsed(state, now, &incarnation);
+        }
     }
 
     /// Handles the loss of a link to an agent. The worker keeps its lease.
--- a/crates/pond-job/src/lead/order.rs
+++ b/crates/pond-job/src/lead/order.rs
@@ -128,6 +128,8 @@
             starts,
             stops: stops(now, worker, &wanted),
             watches: new_watches(worker, &wanted, watches),
+            extension_ms: self.timing.extension_ms(),
+            lapses: worker.lapses,
         };
         worker.ordered.retain(|run, _| wanted.contains_key(run) || worker.rows.contains_key(run));
         Some((link, order))
--- a/crates/pond-job/src/lead/output.rs
+++ b/crates/pond-job/src/lead/output.rs
@@ -22,7 +22,18 @@
     pub retention_ms: Span,
 }
 
+/// Share of its lease that a worker gets at a time, in percent. It outlasts the restart of an agent
+/// and of most workers: the loss of a worker that has registered again tells more about its cause
+/// than its silence does.
+const LEASE_PART_PERCENT: Span = 67;
+
 impl Timing {
+    /// Returns how far beyond its clock an agent extends the lease of its worker at a time, in
+    /// milliseconds.
+    pub fn extension_ms(&self) -> Span {
+        self.lease_ms * LEASE_PART_PERCENT / 100
+    }
+
     /// Returns the time after the last report of a worker at which its lease has certainly expired,
     /// in milliseconds.
     pub fn lease_expiry_ms(&self) -> Span {
--- a/crates/pond-job/src/lead/worker.rs
+++ b/crates/pond-job/src/lead/worker.rs
@@ -49,6 +49,8 @@
     pub draining: bool,
     /// Whether it answers its agent.
     pub answers: bool,
+    /// How often its lease had expired according to its agent.
+    pub lapses: u32,
     /// Runs that the worker has or that its agent was ordered to start.
     pub rows: BTreeMap<RunName, RunRow>,
     /// Runs that ended there and whose ends are not known to be committed.
@@ -85,6 +87,7 @@
             data_centre: String::new(),
             draining: false,
             answers: false,
+            lapses: 0,
             rows: BTreeMap::new(),
             ended: BTreeSet::new(),
             progress: BTreeMap::new(),
@@ -116,6 +119,7 @@
         self.data_centre = report.data_centre.clone();
         self.draining = report.draining;
         self.answers = report.responsive;
+        self.lapses = report.lapses;
         let rows: BTreeMap<RunName, RunRow> =
             report.runs.iter().map(|row| (row.run, row.clone())).collect();
         // Not every report contains new figures.
--- a/crates/pond-job/tests/leases.rs
+++ b/crates/pond-job/tests/leases.rs
@@ -57,6 +57,44 @@
     assert_eq!(until, Some(5_000 + 6_000));
 }
 
+/// Returns the report of an agent whose worker no longer holds a lease, with the clock that the
+/// worker had before.
+fn lapsed() -> Report {
+    Report {
+        worker: "a".to_owned(),
+        pool: "vms".to_owned(),
+        milli_cpu: 1_000,
+        memory_mib: 100_000,
+        clock_ms: 5_000,
+        lapsed: true,
+        lapses: 1,
+        ..Report::default()
+    }
+}
+
+/// Guards against runs of a silent worker that stand still for the whole grant although its agent
+/// knows that none of them can run any more.
+#[test]
+fn worker_loses_its_runs_as_soon_as_its_agent_reports_that_its_lease_has_expired() {
+    let mut harness = one_run_on_a();
+    let link = harness.vms["a"].link;
+    harness.leader.report(&harness.state, harness.now, link, "agent-of-a", lapsed());
+    harness.run_until_idle();
+    assert_eq!(harness.worker_of(task(1, 0, 0)).as_deref(), Some("b"));
+}
+
+#[test]
+fn orders_grant_the_lease_in_parts_and_name_the_last_time_that_it_expired() {
+    let mut harness = one_run_on_a();
+    let link = harness.vms["a"].link;
+    harness.leader.report(&harness.state, harness.now, link, "agent-of-a", lapsed());
+    harness.run_until_idle();
+    let order = harness.vms["a"].orders.last().expect("an order");
+    assert!(order.extension_ms > 0 && order.extension_ms < 6_000);
+    assert_eq!(order.lapses, 1);
+    assert!(order.starts.is_empty());
+}
+
 #[test]
 fn job_that_ended_long_ago_is_dropped_once() {
     let mut harness = one_run_on_a();
--- a/crates/pond-proto/src/fleet.rs
+++ b/crates/pond-proto/src/fleet.rs
@@ -229,6 +229,13 @@
     /// Whether the ended incarnation had announced that it would leave.
     #[prost(bool, tag = "16")]
     pub deregistered: bool,
+    /// Whether the lease that the worker holds has certainly expired, so that none of its runs is
+    /// running any more.
+    #[prost(bool, tag = "17")]
+    pub lapsed: bool,
+    /// How often that has happened to this incarnation since its agent started.
+    #[prost(uint32, tag = "18")]
+    pub lapses: u32,
 }
 
 /// An order to start a run on a worker.
@@ -305,4 +312,12 @@
     /// Updated monitoring settings for runs that are already started.
     #[prost(message, repeated, tag = "8")]
     pub watches: Vec<Watch>,
+    /// How far beyond its last known clock the agent extends the lease of the worker at a time, in
+    /// milliseconds; zero for as far as the lease goes.
+    #[prost(uint64, tag = "9")]
+    pub extension_ms: u64,
+    /// How often the worker's lease had expired according to the last report that control has
+    /// received. The starts of an order that does not know of the last time are not carried out.
+    #[prost(uint32, tag = "10")]
+    pub lapses: u32,
 }
