Events 629 and 630: the lease of a silent worker has expired, and it answers again

Cause: the agent's belief that a lease is over led to lost runs without a line of its own; 609 at the leader names neither what the worker may have held nor its clock. Change: both events with these figures; orders are logged with the extension and the count of lapses. No behaviour changes; the tests of pond-agent and pond-log pass.

--- a/crates/pond-agent/src/agent.rs
+++ b/crates/pond-agent/src/agent.rs
@@ -122,7 +122,8 @@
             Notification::Frame(Body::Order(order)) => {
                 event!(self.log, ORDERED, "worker" => order.worker.clone(), "term" => order.term,
                     "starts" => order.starts.len(), "stops" => order.stops.len(),
-                    "lease_end_ms" => order.lease_end_ms, "settled" => order.committed);
+                    "lease_end_ms" => order.lease_end_ms, "extension_ms" => order.extension_ms,
+                    "lapses" => order.lapses, "settled" => order.committed);
                 self.core.order(now, order);
             }
             Notification::Leader { .. } | Notification::Lost | Notification::Frame(_) => {}
@@ -203,6 +204,15 @@
                 event!(self.log, RUN_VANISHED, "worker" => incarnation, "run" => run.to_string(),
                     "settled" => committed);
             }
+            Observation::Lease { incarnation, lapsed, held_ms, clock_ms, silent_ms, lapses } => {
+                if lapsed {
+                    event!(self.log, LEASE_EXPIRED, "worker" => incarnation, "held_ms" => held_ms,
+                        "clock_ms" => clock_ms, "silent_ms" => silent_ms, "lapses" => lapses);
+                } else {
+                    event!(self.log, LEASE_RENEWED, "worker" => incarnation, "held_ms" => held_ms,
+                        "clock_ms" => clock_ms, "silent_ms" => silent_ms, "lapses" => lapses);
+                }
+            }
         }
     }
 
--- a/crates/pond-agent/src/core/lease.rs
+++ b/crates/pond-agent/src/core/lease.rs
@@ -8,7 +8,7 @@
 
 use pond_proto::{Millis, Span};
 
-use super::Core;
+use super::{Core, Observation, Output};
 
 /// Maximum rate by which the worker's clock may run slow, in thousandths.
 const CLOCK_DRIFT_PERMILLE: Span = 25;
@@ -106,6 +106,15 @@
             self.lease.lapses += 1;
             self.cancel_starts(now);
         }
+        let observation = Observation::Lease {
+            incarnation: self.incarnation().unwrap_or_default().to_owned(),
+            lapsed,
+            held_ms: self.lease.held_ms.unwrap_or(0),
+            clock_ms: self.clock_ms,
+            silent_ms: now.since(self.clock_read_at),
+            lapses: self.lease.lapses,
+        };
+        self.outputs.push(Output::Observed(observation));
     }
 
     /// Returns when the lease of the worker or its renewal needs attention.
--- a/crates/pond-agent/src/core/mod.rs
+++ b/crates/pond-agent/src/core/mod.rs
@@ -136,6 +136,21 @@
         /// Ends up to this number are committed.
         committed: u64,
     },
+    /// The lease of a silent worker has expired, or such a worker answers again.
+    Lease {
+        /// The incarnation.
+        incarnation: String,
+        /// Whether it has expired.
+        lapsed: bool,
+        /// End of the lease that it may have held, on its clock in milliseconds.
+        held_ms: u64,
+        /// Its clock as last read, in milliseconds.
+        clock_ms: u64,
+        /// For how long the clock has not been read, in milliseconds.
+        silent_ms: Span,
+        /// How often its lease has expired.
+        lapses: u32,
+    },
 }
 
 /// State of the agent.
--- a/crates/pond-log/src/events.rs
+++ b/crates/pond-log/src/events.rs
@@ -187,6 +187,9 @@
         "nothing if 606 reports its end; otherwise see 626";
     WORKER_DEREGISTERED = 628, Info, "worker deregistered",
         "nothing: the leader logs 609 once the worker accepts no more calls";
+    LEASE_EXPIRED = 629, Warning, "lease of a silent worker has expired; none of its runs is running any more",
+        "check the worker: the leader gives up its runs with 609";
+    LEASE_RENEWED = 630, Info, "worker whose lease had expired answers again", "nothing";
     ADVISED = 619, Info, "adviser answered which workers may run a step", "nothing";
 }
 
