Two tests that their mutations went unnoticed by

'keep starts in transit when the lease expires' was not noticed, as the start came after the lease had expired already: it is ordered 2.5 s after the worker fell silent now. Both fail with their mutations and pass without.

--- a/crates/pond-agent/tests/lease.rs
+++ b/crates/pond-agent/tests/lease.rs
@@ -223,9 +223,9 @@
     let mut pair = Pair::new(1_000);
     pair.dark = true;
     let report = pair.reports.last().cloned().expect("a report");
-    pair.advance(3_800);
+    pair.advance(2_500);
     pair.order(&report, vec![start()]);
-    pair.advance(LAPSED_WITHIN_MS - 3_800);
+    pair.advance(LAPSED_WITHIN_MS - 2_500);
     assert!(pair.lapsed());
     let started = pair.starts.len();
     pair.dark = false;
--- a/crates/pond-job/tests/next_to_suspects.rs
+++ b/crates/pond-job/tests/next_to_suspects.rs
@@ -21,17 +21,22 @@
 /// than the accepted limit.
 const SURVIVED_MS: Span = 2_000;
 
-/// Returns a worker that a suspect closes, and the suspect.
-fn with_closed_worker() -> (Harness, TaskName) {
-    let mut harness = Harness::new().with_vm("a", 32_000);
-    let suspect = task(1, 0, 0);
-    harness.submit(1, vec![step(1, 1_000)]);
-    let run = RunName { task: suspect, number: 1 };
+/// Loses a worker under a run of a task, which makes the task a suspect.
+fn lose_worker_under(harness: &mut Harness, task: TaskName, number: u32) {
+    let run = RunName { task, number };
     let (worker, agent) = ("lost".to_owned(), "agent-of-lost".to_owned());
     harness.apply(Change::Start(vec![Start { run, worker: worker.clone(), agent }]));
     let blame = vec![Blame::new(run, Verdict::Suspected, SURVIVED_MS)];
     let (checkpoints, evidence) = (Vec::new(), None);
     harness.apply(Change::WorkerLost { worker, checkpoints, ended: true, blame, evidence });
+}
+
+/// Returns a worker that a suspect closes, and the suspect.
+fn with_closed_worker() -> (Harness, TaskName) {
+    let mut harness = Harness::new().with_vm("a", 32_000);
+    let suspect = task(1, 0, 0);
+    harness.submit(1, vec![step(1, 1_000)]);
+    lose_worker_under(&mut harness, suspect, 1);
     advance(&mut harness, 1_000);
     assert_eq!(harness.worker_of(suspect).as_deref(), Some("a"));
     (harness, suspect)
@@ -70,3 +75,16 @@
     harness.run_until_idle();
     assert_eq!(harness.worker_of(task(2, 0, 0)).as_deref(), Some("b"));
 }
+
+/// Guards against losses that two suspects share: neither would be found, and one of them is
+/// innocent.
+#[test]
+fn starved_suspect_does_not_join_another_one() {
+    let (mut harness, _) = with_closed_worker();
+    harness.submit(2, vec![step(1, 1_000)]);
+    let second = task(2, 0, 0);
+    lose_worker_under(&mut harness, second, 1);
+    lose_worker_under(&mut harness, second, 2);
+    advance(&mut harness, 2 * MAX_WAIT_MS);
+    assert_eq!(harness.worker_of(second), None);
+}
