The test of failed runs and targets fails without what it tests

Change: the other job has started too, and less of it is left. Fails with the mutation, passes without.

--- a/crates/pond-job/tests/order.rs
+++ b/crates/pond-job/tests/order.rs
@@ -127,18 +127,23 @@
 
 #[test]
 fn failed_run_of_a_task_extends_the_target_of_its_job() {
-    let mut harness = Harness::new().with_vm("a", 800);
+    let mut harness = Harness::new().with_vm("a", 800).with_vm("b", 800);
     harness.submit_batch(1, vec![step(1, 800)]);
     harness.run_until_idle();
-    harness.start_ordered("a");
-    harness.submit_batch(2, vec![step(1, 800)]);
-    harness.advance(1, &["a"]);
-    // Its second run will end 2 s after it was submitted, which is in time for two runs.
-    harness.vms.get_mut("a").expect("the worker exists").draining = true;
-    harness.end("a", harness.started("a")[0], EndReason::Failed);
-    harness.add_vm("b", 800);
+    // Half of it will be done, so that less of it is left than of the first one.
+    harness.submit_batch(2, vec![step(2, 800)]);
     harness.run_until_idle();
-    assert_eq!(harness.worker_of(task(1, 0, 0)).as_deref(), Some("b"));
+    let places = [task(1, 0, 0), task(2, 0, 0)].map(|task| harness.worker_of(task));
+    let [Some(first), Some(second)] = places else { panic!("both jobs have started") };
+    harness.start_ordered(&first);
+    harness.start_ordered(&second);
+    harness.vms.get_mut(&second).expect("the worker exists").draining = true;
+    harness.advance(1, &[&first, &second]);
+    // A second later either job would end after 2 s: in time for two runs, too late for one.
+    harness.end(&second, harness.started(&second)[0], EndReason::Done);
+    harness.end(&first, harness.started(&first)[0], EndReason::Failed);
+    assert_eq!(harness.worker_of(task(1, 0, 0)), Some(first));
+    assert_eq!(harness.worker_of(task(2, 0, 1)), None);
 }
 
 /// Covers estimates that are wrong by the same factor for all jobs of a queue. Tasks took 1.5 times
