Agent: log which incarnation replaces which, and on what evidence

Cause: the logs of an agent did not tell when it took another incarnation of its worker for the current one, nor why. A registration of another program and a restart of the worker looked the same (615), and the end of an incarnation appeared only at the leader (609).

Change: four events of the agent. 638: another incarnation has registered, with its pool, its address, the current incarnation and for how long that one has not answered. 639: an incarnation is adopted. 640: the current incarnation has ended, with the evidence, its silence, its runs and whether its lease had expired. 641: a claim was dropped. 615 names pool and address. No decision changes.

Without these lines a successor that answered, an expired lease and a registration without any answer could not be told apart.

--- a/crates/pond-agent/src/agent.rs
+++ b/crates/pond-agent/src/agent.rs
@@ -154,6 +154,7 @@
                 "clock_ms" => registration.clock_ms);
         } else if self.core.has_changes(&registration) {
             event!(self.log, WORKER_REGISTERED, "worker" => registration.incarnation.clone(),
+                "pool" => registration.pool.clone(), "address" => registration.address.clone(),
                 "draining" => registration.draining, "sequence" => registration.sequence);
         }
         self.core.registered(now, registration);
@@ -204,6 +205,22 @@
                 event!(self.log, RUN_VANISHED, "worker" => incarnation, "run" => run.to_string(),
                     "settled" => committed);
             }
+            Observation::Claimed { incarnation, pool, address, known, silent_ms } => {
+                event!(self.log, WORKER_CLAIMED, "worker" => incarnation, "pool" => pool,
+                    "address" => address, "known" => known, "silent_ms" => silent_ms);
+            }
+            Observation::Adopted { incarnation, pool, address } => {
+                event!(self.log, WORKER_ADOPTED, "worker" => incarnation, "pool" => pool,
+                    "address" => address);
+            }
+            Observation::ClaimDropped { incarnation, displaced } => {
+                event!(self.log, CLAIM_DROPPED, "worker" => incarnation, "displaced" => displaced);
+            }
+            Observation::Ended { incarnation, evidence, silent_ms, lapsed, runs } => {
+                event!(self.log, INCARNATION_ENDED, "worker" => incarnation,
+                    "evidence" => format!("{evidence:?}"), "silent_ms" => silent_ms,
+                    "lapsed" => lapsed, "runs" => runs);
+            }
             Observation::Lease { incarnation, lapsed, held_ms, clock_ms, silent_ms, lapses } => {
                 if lapsed {
                     event!(self.log, LEASE_EXPIRED, "worker" => incarnation, "held_ms" => held_ms,
--- a/crates/pond-agent/src/core/answers.rs
+++ b/crates/pond-agent/src/core/answers.rs
@@ -6,7 +6,7 @@
 use pond_proto::job::RunName;
 use pond_proto::{Millis, Span};
 
-use super::{Core, Observation, Output};
+use super::{Core, Evidence, Observation, Output};
 use crate::run::{Phase, Run};
 use crate::worker::{Answer, Call, Refusal, Reply};
 
@@ -63,8 +63,8 @@
         }
         match answer.reply {
             Reply::OtherLife => return self.replaced_by_other(now),
-            Reply::Restarted => return self.reset(now, ""),
-            Reply::NotSent if self.has_left(now) => return self.reset(now, ""),
+            Reply::Restarted => return self.reset(now, "", Evidence::Restarted),
+            Reply::NotSent if self.has_left(now) => return self.reset(now, "", Evidence::Left),
             _ => {}
         }
         self.record_contact(now, &answer.reply);
--- a/crates/pond-agent/src/core/claim.rs
+++ b/crates/pond-agent/src/core/claim.rs
@@ -8,7 +8,7 @@
 use pond_proto::Millis;
 
 use super::due::UNRESPONSIVE_MS;
-use super::{Core, Output, Registration};
+use super::{Core, Evidence, Observation, Output, Registration};
 use crate::worker::{Answer, Call, Reply};
 
 /// Number of claims that are kept, the newest. A network failure delays the registrations of
@@ -39,16 +39,31 @@
         match self.claims.iter_mut().find(|claim| claim.is_of(&incarnation)) {
             Some(claim) if registration.sequence <= claim.registration.sequence => return,
             Some(claim) => claim.registration = registration,
-            None => {
-                self.claims.push(Claim { registration, since: now, calling: false });
-                let excess = self.claims.len().saturating_sub(MAX_CLAIMS);
-                self.claims.drain(..excess);
-            }
+            None => self.add_claim(now, registration),
         }
         self.query_claims();
         self.adopt_unanswered(now, &incarnation);
     }
 
+    /// Adds a claim, and drops the oldest if there are too many.
+    fn add_claim(&mut self, now: Millis, registration: Registration) {
+        self.outputs.push(Output::Observed(Observation::Claimed {
+            incarnation: registration.incarnation.clone(),
+            pool: registration.pool.clone(),
+            address: registration.address.clone(),
+            known: self.incarnation().unwrap_or_default().to_owned(),
+            silent_ms: now.since(self.answered_at),
+        }));
+        self.claims.push(Claim { registration, since: now, calling: false });
+        let excess = self.claims.len().saturating_sub(MAX_CLAIMS);
+        let displaced: Vec<Claim> = self.claims.drain(..excess).collect();
+        for claim in displaced {
+            let incarnation = claim.registration.incarnation;
+            let observation = Observation::ClaimDropped { incarnation, displaced: true };
+            self.outputs.push(Output::Observed(observation));
+        }
+    }
+
     /// Calls all claimed incarnations that have no call in flight.
     pub(super) fn query_claims(&mut self) {
         if !self.may_call() {
@@ -83,11 +98,14 @@
             Reply::OtherLife | Reply::Restarted => {
                 self.claims.remove(found);
                 self.remember_ended(incarnation.to_owned());
+                let incarnation = incarnation.to_owned();
+                let observation = Observation::ClaimDropped { incarnation, displaced: false };
+                self.outputs.push(Output::Observed(observation));
             }
             // No other answer identifies the incarnation that it comes from.
             reply if !matches!(reply, Reply::Listed { .. }) => self.claims[found].calling = false,
             _ => {
-                self.adopt(now, found);
+                self.adopt(now, found, Evidence::Successor);
                 // The clock in the answer takes precedence over the one in the registration.
                 self.clock_ms = answer.clock_ms.unwrap_or(self.clock_ms);
                 self.list_answer(now, list_id, answer);
@@ -102,14 +120,20 @@
         let waited =
             |claim: &Claim| claim.is_of(incarnation) && now.since(claim.since) >= UNRESPONSIVE_MS;
         if let Some(found) = self.claims.iter().position(waited).filter(|_| unresponsive) {
-            self.adopt(now, found);
+            self.adopt(now, found, Evidence::Silence);
         }
     }
 
-    /// Makes a claimed incarnation the current one.
-    fn adopt(&mut self, now: Millis, found: usize) {
+    /// Makes a claimed incarnation the current one, as the previous one has ended according to
+    /// `evidence`.
+    fn adopt(&mut self, now: Millis, found: usize, evidence: Evidence) {
         let registration = self.claims.remove(found).registration;
-        self.reset(now, &registration.incarnation);
+        self.reset(now, &registration.incarnation, evidence);
+        self.outputs.push(Output::Observed(Observation::Adopted {
+            incarnation: registration.incarnation.clone(),
+            pool: registration.pool.clone(),
+            address: registration.address.clone(),
+        }));
         self.clock_ms = registration.clock_ms;
         self.worker = Some(registration);
         self.stop_unresolved(now);
--- a/crates/pond-agent/src/core/mod.rs
+++ b/crates/pond-agent/src/core/mod.rs
@@ -13,6 +13,7 @@
 mod answers;
 mod claim;
 mod due;
+mod evidence;
 mod lease;
 mod previous;
 
@@ -27,6 +28,7 @@
 use crate::worker::Call;
 
 use claim::Claim;
+pub use evidence::Evidence;
 use lease::Lease;
 use previous::PreviousIncarnation;
 
@@ -137,6 +139,49 @@
         /// Ends up to this number are committed.
         committed: u64,
     },
+    /// An incarnation other than the known one has registered and is called to find out whether it
+    /// is running.
+    Claimed {
+        /// The incarnation.
+        incarnation: String,
+        /// Its pool.
+        pool: String,
+        /// Address at which it is called.
+        address: String,
+        /// The known incarnation; empty for none.
+        known: String,
+        /// For how long the known one has not answered, in milliseconds.
+        silent_ms: Span,
+    },
+    /// A claimed incarnation has become the known one.
+    Adopted {
+        /// The incarnation.
+        incarnation: String,
+        /// Its pool.
+        pool: String,
+        /// Address at which it is called.
+        address: String,
+    },
+    /// A claim was dropped: its incarnation does not run at the address that it gave.
+    ClaimDropped {
+        /// The incarnation.
+        incarnation: String,
+        /// Whether a newer claim took its place. Otherwise its address denied it.
+        displaced: bool,
+    },
+    /// The known incarnation has ended.
+    Ended {
+        /// The incarnation.
+        incarnation: String,
+        /// What shows that it has ended.
+        evidence: Evidence,
+        /// For how long it had not answered, in milliseconds.
+        silent_ms: Span,
+        /// Whether its lease had certainly expired.
+        lapsed: bool,
+        /// Number of its last known runs.
+        runs: usize,
+    },
     /// The lease of a silent worker has expired, or such a worker answers again.
     Lease {
         /// The incarnation.
@@ -291,11 +336,18 @@
         }
     }
 
-    /// Resets all state of the previous incarnation. `incarnation` names the new one, and is empty
-    /// if none is known.
-    fn reset(&mut self, now: Millis, incarnation: &str) {
+    /// Resets all state of the previous incarnation, which has ended according to `evidence`.
+    /// `incarnation` names the new one, and is empty if none is known.
+    fn reset(&mut self, now: Millis, incarnation: &str, evidence: Evidence) {
         if let Some(before) = self.worker.take().filter(|before| before.incarnation != incarnation)
         {
+            self.outputs.push(Output::Observed(Observation::Ended {
+                incarnation: before.incarnation.clone(),
+                evidence,
+                silent_ms: now.since(self.answered_at),
+                lapsed: self.lease.lapsed,
+                runs: self.runs.len(),
+            }));
             self.keep_previous(before);
         }
         *self = Core {
--- a/crates/pond-agent/src/core/previous.rs
+++ b/crates/pond-agent/src/core/previous.rs
@@ -12,7 +12,7 @@
 use pond_proto::fleet::{EndRow, Report, RunRow};
 use pond_proto::job::RunName;
 
-use super::{Core, Output, Registration};
+use super::{Core, Evidence, Output, Registration};
 use crate::run::{Phase, Run};
 
 /// Number of previous incarnations that are kept to be reported again, the newest. A leader that
@@ -71,7 +71,7 @@
     /// Ends the current incarnation because a different worker answers at its address. That worker
     /// refuses calls meant for the previous one, so no start of it remains unresolved.
     pub(super) fn replaced_by_other(&mut self, now: Millis) {
-        self.reset(now, "");
+        self.reset(now, "", Evidence::OtherWorker);
         self.previous.iter_mut().for_each(|previous| previous.unresolved.clear());
         self.report_previous();
     }
--- a/crates/pond-agent/src/lib.rs
+++ b/crates/pond-agent/src/lib.rs
@@ -11,5 +11,5 @@
 mod worker;
 
 pub use agent::{Agent, Registrar};
-pub use core::{Core, Mismatch, Observation, Output, Registration};
+pub use core::{Core, Evidence, Mismatch, Observation, Output, Registration};
 pub use worker::{Answer, Call, Refusal, Reply, Worker};
--- a/crates/pond-log/src/events.rs
+++ b/crates/pond-log/src/events.rs
@@ -203,6 +203,14 @@
         "check the machine if a worker is slow again and again";
     RUN_TOO_SLOW = 637, Info, "run is stopped to run elsewhere because its worker is slow",
         "nothing: 636 with that worker tells since when";
+    WORKER_CLAIMED = 638, Info, "incarnation other than the current one has registered and is called",
+        "nothing if 639 or 641 follows; otherwise find what registers at this agent by `pool` and `address`";
+    WORKER_ADOPTED = 639, Info, "registered incarnation is the current one and gets all calls",
+        "nothing: 640 tells why the previous one has ended";
+    INCARNATION_ENDED = 640, Info, "incarnation of a worker has ended",
+        "nothing: `evidence` tells what shows it; the leader logs 609";
+    CLAIM_DROPPED = 641, Info, "registered incarnation does not run at its address and is not called again",
+        "nothing if it has ended; `displaced` means that several newer incarnations registered after it";
     ADVISED = 619, Info, "adviser answered which workers may run a step", "nothing";
 }
 
