--- a/crates/pond-agent/src/agent.rs
+++ b/crates/pond-agent/src/agent.rs
@@ -216,6 +216,10 @@
             Observation::ClaimDropped { incarnation, displaced } => {
                 event!(self.log, CLAIM_DROPPED, "worker" => incarnation, "displaced" => displaced);
             }
+            Observation::ClaimHeld { incarnation, known, silent_ms, lapsed } => {
+                event!(self.log, CLAIM_HELD, "worker" => incarnation, "known" => known,
+                    "silent_ms" => silent_ms, "lapsed" => lapsed);
+            }
             Observation::Ended { incarnation, evidence, silent_ms, lapsed, runs } => {
                 event!(self.log, INCARNATION_ENDED, "worker" => incarnation,
                     "evidence" => format!("{evidence:?}"), "silent_ms" => silent_ms,
--- a/crates/pond-agent/src/core/answers.rs
+++ b/crates/pond-agent/src/core/answers.rs
@@ -215,6 +215,7 @@
         self.advance_clock(now, answer.clock_ms.unwrap_or(0));
         self.list_failures = 0;
         self.listed_at = now;
+        self.listed_before = self.last_list_id;
         self.has_listed = true;
         self.distrusted_list =
             self.distrusted_list.filter(|distrusted_list| list_id <= *distrusted_list);
--- a/crates/pond-agent/src/core/claim.rs
+++ b/crates/pond-agent/src/core/claim.rs
@@ -1,13 +1,14 @@
-//! Claims: incarnations of the worker that have registered but not answered a call yet.
+//! Claims: incarnations of the worker that have registered but are not known to be running.
 //!
-//! A registration can arrive late, even after its incarnation has ended and another one has
-//! registered at the same address. A registration alone is therefore not conclusive: only an
-//! incarnation that answers a call is running. If an old incarnation were taken for the current
-//! one, control would be notified that all runs of the current one have ended.
+//! Anyone can send a registration, and it can arrive late, even after its incarnation has ended and
+//! another one has registered at the same address. Silence of the current incarnation says nothing
+//! either: a worker that hangs keeps its runs until its lease has expired. A claimed incarnation
+//! therefore becomes the current one only once it has answered a list, and only if this or other
+//! evidence shows that the current one has ended. If a running incarnation were replaced, control
+//! would be notified that its runs have ended, and would place them elsewhere as well.
 
-use pond_proto::Millis;
+use pond_proto::{Millis, Span};
 
-use super::due::UNRESPONSIVE_MS;
 use super::{Core, Evidence, Observation, Output, Registration};
 use crate::worker::{Answer, Call, Reply};
 
@@ -15,13 +16,18 @@
 /// only a few incarnations.
 const MAX_CLAIMS: usize = 4;
 
-/// An incarnation that has registered but not answered yet.
+/// A worker that has not answered for this long holds no lease, in milliseconds, not even one that
+/// a previous process of this agent passed on. Platforms limit leases to about 10 s.
+const MAX_LEASE_MS: Span = 30_000;
+
+/// An incarnation that has registered and is not known to be running.
 #[derive(Debug)]
 pub(super) struct Claim {
     registration: Registration,
-    since: Millis,
     /// Whether a call to it is in flight.
     calling: bool,
+    /// Whether it was observed that it answers while the current incarnation has not ended.
+    held: bool,
 }
 
 impl Claim {
@@ -32,17 +38,15 @@
 }
 
 impl Core {
-    /// Records the registration of an incarnation other than the known one and calls it to see
+    /// Records the registration of an incarnation other than the current one and calls it to see
     /// whether it answers.
     pub(super) fn claim(&mut self, now: Millis, registration: Registration) {
-        let incarnation = registration.incarnation.clone();
-        match self.claims.iter_mut().find(|claim| claim.is_of(&incarnation)) {
+        match self.claims.iter_mut().find(|claim| claim.is_of(&registration.incarnation)) {
             Some(claim) if registration.sequence <= claim.registration.sequence => return,
             Some(claim) => claim.registration = registration,
             None => self.add_claim(now, registration),
         }
         self.query_claims();
-        self.adopt_unanswered(now, &incarnation);
     }
 
     /// Adds a claim, and drops the oldest if there are too many.
@@ -54,7 +58,7 @@
             known: self.incarnation().unwrap_or_default().to_owned(),
             silent_ms: now.since(self.answered_at),
         }));
-        self.claims.push(Claim { registration, since: now, calling: false });
+        self.claims.push(Claim { registration, calling: false, held: false });
         let excess = self.claims.len().saturating_sub(MAX_CLAIMS);
         let displaced: Vec<Claim> = self.claims.drain(..excess).collect();
         for claim in displaced {
@@ -82,7 +86,8 @@
         }
     }
 
-    /// Handles the result of a call to a claimed incarnation.
+    /// Handles the result of a call to a claimed incarnation. If it leaves open whether the
+    /// incarnation is running, the next registration causes another call.
     pub(super) fn claim_answer(
         &mut self,
         now: Millis,
@@ -92,9 +97,8 @@
     ) {
         let found = self.claims.iter().position(|claim| claim.is_of(incarnation));
         let Some(found) = found else { return };
+        self.claims[found].calling = false;
         match answer.reply {
-            // Its next registration causes another call.
-            Reply::Unknown | Reply::NotSent => self.claims[found].calling = false,
             Reply::OtherLife | Reply::Restarted => {
                 self.claims.remove(found);
                 self.remember_ended(incarnation.to_owned());
@@ -103,25 +107,47 @@
                 self.outputs.push(Output::Observed(observation));
             }
             // No other answer identifies the incarnation that it comes from.
-            reply if !matches!(reply, Reply::Listed { .. }) => self.claims[found].calling = false,
-            _ => {
-                self.adopt(now, found, Evidence::Successor);
-                // The clock in the answer takes precedence over the one in the registration.
-                self.clock_ms = answer.clock_ms.unwrap_or(self.clock_ms);
-                self.list_answer(now, list_id, answer);
-            }
+            Reply::Listed { .. } => match self.succession(now, found, list_id) {
+                Some(evidence) => {
+                    self.adopt(now, found, evidence);
+                    // The clock in the answer takes precedence over the one in the registration.
+                    self.clock_ms = answer.clock_ms.unwrap_or(self.clock_ms);
+                    self.list_answer(now, list_id, answer);
+                }
+                None => self.hold_claim(now, found),
+            },
+            _ => {}
         }
     }
 
-    /// Adopts an incarnation that keeps registering without answering any call, once the known
-    /// incarnation does not answer either. Control then learns that the previous one has ended.
-    fn adopt_unanswered(&mut self, now: Millis, incarnation: &str) {
-        let unresponsive = self.worker.is_none() || now.since(self.listed_at) >= UNRESPONSIVE_MS;
-        let waited =
-            |claim: &Claim| claim.is_of(incarnation) && now.since(claim.since) >= UNRESPONSIVE_MS;
-        if let Some(found) = self.claims.iter().position(waited).filter(|_| unresponsive) {
-            self.adopt(now, found, Evidence::Silence);
+    /// Returns what shows that the current incarnation has ended, now that a claimed one has
+    /// answered the list with this ID; `None` if it may still be running.
+    ///
+    /// Only one process accepts connections at an address. Between two that have both answered
+    /// there, the order of calls and answers decides which one is the later: the list of the
+    /// claimed one must have been requested after the last list of the current one was received.
+    fn succession(&self, now: Millis, found: usize, list_id: u64) -> Option<Evidence> {
+        let Some(worker) = &self.worker else { return Some(Evidence::Successor) };
+        if worker.address == self.claims[found].registration.address {
+            return (list_id > self.listed_before).then_some(Evidence::Successor);
         }
+        let silent_ms = now.since(self.answered_at);
+        let lease_expired = self.lease.lapsed || silent_ms >= MAX_LEASE_MS;
+        (lease_expired && self.unreachable).then_some(Evidence::Expired)
+    }
+
+    /// Observes, once for each claim, that its incarnation answers but does not become the current
+    /// one.
+    fn hold_claim(&mut self, now: Millis, found: usize) {
+        if std::mem::replace(&mut self.claims[found].held, true) {
+            return;
+        }
+        self.outputs.push(Output::Observed(Observation::ClaimHeld {
+            incarnation: self.claims[found].registration.incarnation.clone(),
+            known: self.incarnation().unwrap_or_default().to_owned(),
+            silent_ms: now.since(self.answered_at),
+            lapsed: self.lease.lapsed,
+        }));
     }
 
     /// Makes a claimed incarnation the current one, as the previous one has ended according to
--- a/crates/pond-agent/src/core/due.rs
+++ b/crates/pond-agent/src/core/due.rs
@@ -31,7 +31,7 @@
 
 /// A worker that has returned no list for this long counts as unresponsive, in milliseconds. This
 /// is about two lists, each with its wait of 1 s and the time for an answer.
-pub(super) const UNRESPONSIVE_MS: Span = 3_500;
+const UNRESPONSIVE_MS: Span = 3_500;
 
 impl Core {
     /// Does the work that is due and returns the outputs to be carried out.
--- a/crates/pond-agent/src/core/mod.rs
+++ b/crates/pond-agent/src/core/mod.rs
@@ -169,6 +169,17 @@
         /// Whether a newer claim took its place. Otherwise its address denied it.
         displaced: bool,
     },
+    /// A claimed incarnation has answered, but nothing shows that the known one has ended.
+    ClaimHeld {
+        /// The incarnation.
+        incarnation: String,
+        /// The known incarnation.
+        known: String,
+        /// For how long the known one has not answered, in milliseconds.
+        silent_ms: Span,
+        /// Whether the lease of the known one has certainly expired.
+        lapsed: bool,
+    },
     /// The known incarnation has ended.
     Ended {
         /// The incarnation.
@@ -244,8 +255,10 @@
     pending_list: Option<u64>,
     list_due: Millis,
     list_failures: u32,
-    /// When this incarnation last returned a list, or was adopted without one.
+    /// When this incarnation last returned a list.
     listed_at: Millis,
+    /// Lists up to this ID had been requested when this incarnation last returned one.
+    listed_before: u64,
     /// Whether the last list may have left out ends, so that a missing run may have ended.
     hides_ends: bool,
     /// Whether this incarnation has returned a list.
