Agent: renew the lease of a worker that registers but returns no lists

Cause: a silent worker is called every 0.4 s to renew its lease, counted from the last reading of its clock. A worker that hangs may go on registering, and registrations show its clock but renew nothing. It was called only when the next list was due, which is delayed by up to 1.6 s after failures.

Change: the renewal counts from the last list that the worker returned.

Evidence: the new test of `lease.rs` failed before (phase 0). The tests of pond-agent, pond-adapter and pond-job pass.

--- a/crates/pond-agent/src/core/lease.rs
+++ b/crates/pond-agent/src/core/lease.rs
@@ -84,9 +84,10 @@
         (self.extension_ms > 0).then(|| read_at + wait_ms)
     }
 
-    /// Returns when a silent worker is called to renew its lease; `None` if it is not.
-    fn renewal(&self, read_at: Millis) -> Option<Millis> {
-        let due = read_at + self.extension_ms / RENEWALS;
+    /// Returns when a worker that returned its last list at `listed_at` is called to renew its lease;
+    /// `None` if it is not. Registrations show its clock, but renew nothing.
+    fn renewal(&self, listed_at: Millis) -> Option<Millis> {
+        let due = listed_at + self.extension_ms / RENEWALS;
         (self.extension_ms > 0).then(|| due.max(self.renewed_at + RENEW_RETRY_MS))
     }
 }
@@ -121,11 +122,10 @@
         }
     }
 
-    /// Calls a worker that has been silent for a while, so that a single call without an answer
-    /// does not end its lease.
+    /// Calls a worker that has returned no list for a while, so that neither a single call without an
+    /// answer nor the growing delay between lists ends its lease.
     pub(super) fn renew_if_due(&mut self, now: Millis) {
-        if !self.lease.lapsed && self.lease.renewal(self.clock_read_at).is_some_and(|at| now >= at)
-        {
+        if !self.lease.lapsed && self.lease.renewal(self.listed_at).is_some_and(|at| now >= at) {
             self.lease.renewed_at = now;
             self.request_list(0);
         }
@@ -163,6 +163,6 @@
             return None;
         }
         let expiry = self.lease.expiry(self.clock_ms, self.clock_read_at)?;
-        Some(self.lease.renewal(self.clock_read_at).map_or(expiry, |renewal| expiry.min(renewal)))
+        Some(self.lease.renewal(self.listed_at).map_or(expiry, |renewal| expiry.min(renewal)))
     }
 }
--- a/crates/pond-agent/tests/lease.rs
+++ b/crates/pond-agent/tests/lease.rs
@@ -20,6 +20,9 @@
 /// and the slack, and one list that was still answered, in milliseconds.
 const LAPSED_WITHIN_MS: Span = 4_000 + 100 + 250 + 2 * STEP_MS;
 
+/// Time between registrations of the worker, in milliseconds.
+const REGISTER_MS: Span = 1_100;
+
 /// A worker with its own clock, and its agent.
 struct Pair {
     core: Core,
@@ -29,6 +32,9 @@
     /// End of the lease that the worker holds, on its clock in milliseconds.
     held_ms: u64,
     dark: bool,
+    /// Whether the worker registers regularly, also while it answers nothing.
+    registers: bool,
+    sequence: u64,
     /// Of so many lists in a row, the worker answers the last one.
     answers_one_of: usize,
     lists: usize,
@@ -48,6 +54,8 @@
             clock_permille,
             held_ms: 0,
             dark: false,
+            registers: false,
+            sequence: 0,
             answers_one_of: 1,
             lists: 0,
             control: true,
@@ -55,17 +63,22 @@
             reports: Vec::new(),
             starts: Vec::new(),
         };
+        pair.register();
+        pair.advance(5_000);
+        pair
+    }
+
+    fn register(&mut self) {
+        self.sequence += 1;
         let registration = Registration {
             id: INCARNATION.to_owned(),
             incarnation: INCARNATION.to_owned(),
             room: Size::new(4_000, 1_000, 0),
-            clock_ms: pair.clock_ms(),
-            sequence: 1,
+            clock_ms: self.clock_ms(),
+            sequence: self.sequence,
             ..Registration::default()
         };
-        pair.core.registered(pair.now, registration);
-        pair.advance(5_000);
-        pair
+        self.core.registered(self.now, registration);
     }
 
     fn clock_ms(&self) -> u64 {
@@ -75,6 +88,9 @@
     fn advance(&mut self, span: Span) {
         for _ in 0..span / STEP_MS {
             self.now = self.now + STEP_MS;
+            if self.registers && self.now.0.is_multiple_of(REGISTER_MS) {
+                self.register();
+            }
             self.answer_due();
             for output in self.core.tick(self.now) {
                 match output {
@@ -218,6 +234,26 @@
     }
 }
 
+/// Guards against a worker whose runs expire although it answers again before the end of its lease: it was not called
+/// to renew the lease, because its registrations showed its clock, and the next list was due after up to 1.6 s.
+#[test]
+fn worker_that_only_registers_for_a_while_is_called_before_its_lease_ends() {
+    for phase in 0..11 {
+        let mut pair = Pair::new(1_000);
+        pair.registers = true;
+        pair.advance(100 * phase);
+        pair.dark = true;
+        // The lease ends at least 0.6 s after this, as the last list was requested at most 1 s before.
+        pair.advance(2_400);
+        pair.dark = false;
+        for _ in 0..300 {
+            pair.advance(STEP_MS);
+            assert!(pair.held_ms > pair.clock_ms(), "{phase}: the lease has expired");
+        }
+        assert!(!pair.reports.iter().any(|report| report.lapsed), "{phase}");
+    }
+}
+
 #[test]
 fn start_that_was_ordered_before_the_lease_expired_is_not_carried_out() {
     let mut pair = Pair::new(1_000);
