Agent: ignore refusals of the token by an incarnation that only registered

What callers saw: nothing yet; found by looking for messages that anyone can send. A worker would have got no calls until the next leader, so its lease would have expired and its runs would have been lost.

Cause: a reply that refuses the agent's token as too low stops all calls with it, also if the reply came from an address that only a registration names.

Change: only refusals by the current incarnation count.

Evidence: the new test of `claims.rs` failed before: no list was requested after such a refusal.

--- a/crates/pond-agent/src/core/answers.rs
+++ b/crates/pond-agent/src/core/answers.rs
@@ -53,14 +53,14 @@
         call: &Call,
         answer: Answer,
     ) {
+        if self.incarnation() != Some(incarnation) {
+            return self.claim_answer(now, incarnation, list_id, answer);
+        }
         if answer.reply == Reply::Refused(Refusal::Fenced) {
             // Another agent has called with a higher token, so all calls with this one will be
             // refused.
             self.refused_token = self.refused_token.max(token);
         }
-        if self.incarnation() != Some(incarnation) {
-            return self.claim_answer(now, incarnation, list_id, answer);
-        }
         match answer.reply {
             Reply::OtherLife => return self.replaced_by_other(now),
             Reply::Restarted => return self.reset(now, "", Evidence::Restarted),
--- a/crates/pond-agent/tests/claims.rs
+++ b/crates/pond-agent/tests/claims.rs
@@ -234,6 +234,21 @@
     assert_eq!(harness.core.incarnation(), Some("incarnation-2"));
 }
 
+/// Guards against a worker that gets no more calls, so that its runs expire, because another program
+/// refuses the agent's token: a registration names any address, and anything can answer there.
+#[test]
+fn refusal_by_an_incarnation_that_only_registered_does_not_stop_calls_to_the_current_one() {
+    let mut harness = with_run();
+    claim(&mut harness, "i-foreign", "i-foreign", OTHER_ADDRESS, 1);
+    harness.answer_claim("i-foreign", Reply::Refused(Refusal::Fenced));
+    for _ in 0..5 {
+        harness.advance(1_000);
+        assert!(harness.count(is_list) > 0);
+        harness.list_all(&[0], &[]);
+    }
+    assert!(harness.last().responsive);
+}
+
 /// Guards against registrations whose fate cannot be told from the logs.
 #[test]
 fn replaced_and_denied_incarnations_are_observed_with_the_evidence() {
