Executor: only a refused connection shows that nothing listens at a worker

What callers saw: nothing yet; found by looking for missing answers that count as the end of something. A worker that runs could have been reported as ended, and its tasks started elsewhere beside it.

Cause: a deregistration contains only the ID, so a late one may concern an earlier incarnation. It takes effect once a call was not sent, which the agent took for "nothing accepts connections there". Calls are also not sent when the agent lacks file descriptors, when connecting times out, or when a connection is accepted and closed at once.

Change: `pond_http::Error::NotSent` tells whether the connection was refused. Everything else that was not sent counts as a call whose outcome is unknown.

--- a/crates/pond-agent/src/worker.rs
+++ b/crates/pond-agent/src/worker.rs
@@ -101,7 +101,8 @@
     Restarted,
     /// There was no answer. The call may have been carried out, or may still be.
     Unknown,
-    /// The call did not reach the worker: nothing accepts connections at its address.
+    /// The call did not reach the worker: nothing accepts connections at its address. A call that
+    /// was not sent for another reason is [`Reply::Unknown`].
     NotSent,
 }
 
--- a/crates/pond-http/src/client.rs
+++ b/crates/pond-http/src/client.rs
@@ -1,6 +1,7 @@
 //! An HTTP client that reuses connections and reports whether a request was sent.
 
 use std::collections::BTreeMap;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -126,7 +127,7 @@
         let connecting = timeout(self.connect_timeout, TcpStream::connect(parsed)).await;
         let stream = connecting
             .map_err(|_| not_sent(address, "connecting timed out"))?
-            .map_err(|error| not_sent(address, error))?;
+            .map_err(|error| not_connected(address, &error))?;
         stream.set_nodelay(true).map_err(|error| not_sent(address, error))?;
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|error| not_sent(address, error))?;
@@ -171,7 +172,12 @@
 }
 
 fn not_sent(address: &str, reason: impl ToString) -> Error {
-    Error::NotSent { address: address.to_owned(), reason: reason.to_string() }
+    Error::NotSent { address: address.to_owned(), reason: reason.to_string(), refused: false }
+}
+
+fn not_connected(address: &str, error: &io::Error) -> Error {
+    let refused = error.kind() == io::ErrorKind::ConnectionRefused;
+    Error::NotSent { address: address.to_owned(), reason: error.to_string(), refused }
 }
 
 fn broken(address: &str, reason: impl ToString) -> Error {
--- a/crates/pond-http/src/error.rs
+++ b/crates/pond-http/src/error.rs
@@ -12,6 +12,9 @@
         address: String,
         /// The cause.
         reason: String,
+        /// Whether the address refused the connection: nothing accepts any there. Other causes may lie
+        /// on this side, such as a lack of file descriptors.
+        refused: bool,
     },
     /// The request was sent, at least in part, without a complete answer, so it may have run.
     #[snafu(display("{address}: no complete answer: {reason}"))]
