--- a/crates/pond-agent/src/core/mod.rs
+++ b/crates/pond-agent/src/core/mod.rs
@@ -219,7 +219,7 @@
     previous: VecDeque<PreviousIncarnation>,
     /// Incarnations that have ended.
     ended: VecDeque<String>,
-    /// Incarnations that have registered but not answered yet.
+    /// Incarnations that have registered but are not known to be running.
     claims: Vec<Claim>,
     /// The worker's clock, in milliseconds.
     clock_ms: u64,
--- a/crates/pond-log/src/events.rs
+++ b/crates/pond-log/src/events.rs
@@ -211,8 +211,8 @@
         "nothing: `evidence` tells what shows it; the leader logs 609";
     CLAIM_DROPPED = 641, Info, "registered incarnation does not run at its address and is not called again",
         "nothing if it has ended; `displaced` means that several newer incarnations registered after it";
-    CLAIM_HELD = 642, Warning, "registered incarnation answers at another address, but the current one has not ended",
-        "find what registers at this agent with the address in 638; it is adopted once the lease of `known` has expired and nothing accepts calls at its address";
+    CLAIM_HELD = 642, Warning, "registered incarnation answers, but nothing shows that the current one has ended",
+        "nothing if 639 follows; otherwise find what registers at this agent by the address in 638";
     ADVISED = 619, Info, "adviser answered which workers may run a step", "nothing";
 }
 
