--- a/crates/pond-quorum/src/leader.rs
+++ b/crates/pond-quorum/src/leader.rs
@@ -393,7 +393,7 @@
     }
 
     /// Whether a change of members may be proposed: the leader is ready and the previous change is committed.
-    fn may_change_members(&self) -> bool {
+    pub fn may_change_members(&self) -> bool {
         self.ready() && self.lists.index() <= self.commit
     }
 
--- a/crates/pond-replica/src/lead.rs
+++ b/crates/pond-replica/src/lead.rs
@@ -12,6 +12,7 @@
 use crate::formation::MemberChange;
 use crate::handle::Request;
 use crate::pending::Waiter;
+use crate::redundancy::Redundancy;
 use crate::replica::Replica;
 
 /// Time in milliseconds after which an unreachable voter is removed, if fault tolerance does not suffer:
@@ -80,7 +81,49 @@
         leader.report(&self.state, now, link.0, &client.name, report);
     }
 
+    /// Returns how many losses the quorum tolerates, judged by this replica's links.
+    pub(crate) fn current_redundancy(&self) -> Redundancy {
+        Redundancy::new(self.core.members(), |member| {
+            member.id == self.core.id() || self.peers.down_since(&member.address).is_none()
+        })
+    }
+
+    /// Updates the metrics of the voters. The leader also logs when the quorum tolerates fewer losses than
+    /// required, and when it tolerates them again.
+    pub(crate) fn record_redundancy(&mut self) {
+        let redundancy = self.current_redundancy();
+        let leads = self.core.ready();
+        if self.redundancy.as_ref().is_some_and(|(last, led)| *last == redundancy && *led == leads)
+        {
+            return;
+        }
+        self.metrics.gauge("voters", redundancy.voters().len() as u64);
+        self.metrics.gauge("unreachable_voters", redundancy.unreachable().len() as u64);
+        self.metrics.gauge("tolerated_losses", redundancy.tolerated_losses() as u64);
+        if leads {
+            self.log_redundancy(&redundancy);
+        }
+        self.redundancy = Some((redundancy, leads));
+    }
+
+    fn log_redundancy(&self, redundancy: &Redundancy) {
+        let tolerated = redundancy.tolerated_losses();
+        let required = self.settings.tolerated_losses;
+        let voters = redundancy.voters().join(" ");
+        let unreachable = redundancy.unreachable().join(" ");
+        if tolerated < required {
+            event!(self.log, REDUNDANCY_REDUCED, "voters" => voters, "unreachable" => unreachable,
+                "tolerated" => tolerated, "required" => required);
+        } else {
+            event!(self.log, REDUNDANCY_RESTORED, "voters" => voters, "unreachable" => unreachable,
+                "tolerated" => tolerated, "required" => required);
+        }
+    }
+
     fn change_members(&mut self, now: Millis) {
+        if !self.core.may_change_members() {
+            return;
+        }
         let reachable = |address: &str| self.peers.down_since(address).is_none();
         match self.formation.next_change(self.core.members(), reachable) {
             Some(MemberChange::Remove(old)) => {
--- a/crates/pond-replica/src/lib.rs
+++ b/crates/pond-replica/src/lib.rs
@@ -15,10 +15,12 @@
 mod outputs;
 mod peers;
 mod pending;
+mod redundancy;
 mod replica;
 
 pub use admission::{Admitter, Submission};
 pub use adviser::Adviser;
 pub use formation::{Formation, MemberChange};
 pub use handle::{Evacuated, Evacuation, Handle, RequestError};
+pub use redundancy::Redundancy;
 pub use replica::{Replica, Settings};
--- a/crates/pond-replica/src/operators.rs
+++ b/crates/pond-replica/src/operators.rs
@@ -149,8 +149,11 @@
         let leader = self.leader_address(now).map(str::to_owned);
         if leader.is_none() {
             let address = self.core.leader().map_or(String::new(), |leader| leader.address.clone());
+            let redundancy = self.current_redundancy();
             event!(self.log, NO_LEADER, "named" => address,
-                "heard_ms" => self.core.heard().map_or(0, |heard| now.since(heard)));
+                "heard_ms" => self.core.heard().map_or(0, |heard| now.since(heard)),
+                "voters" => redundancy.voters().join(" "),
+                "unreachable" => redundancy.unreachable().join(" "));
         }
         RequestError::NotLeader(leader)
     }
--- a/crates/pond-replica/src/outputs.rs
+++ b/crates/pond-replica/src/outputs.rs
@@ -137,7 +137,9 @@
             Output::MembersChanged(members) => {
                 let names: Vec<&str> =
                     members.list.iter().map(|member| member.name.as_str()).collect();
-                event!(self.log, MEMBERS, "members" => names.join(" "));
+                let voters = members.list.iter().filter(|member| member.voter);
+                let voters: Vec<&str> = voters.map(|member| member.name.as_str()).collect();
+                event!(self.log, MEMBERS, "members" => names.join(" "), "voters" => voters.join(" "));
                 self.connect_to_members();
                 if !self.formation.formed() {
                     self.formation.set_formed();
--- a/crates/pond-replica/src/replica.rs
+++ b/crates/pond-replica/src/replica.rs
@@ -25,6 +25,7 @@
 use crate::operators::Deferred;
 use crate::peers::Peers;
 use crate::pending::{Pending, Waiter};
+use crate::redundancy::Redundancy;
 
 /// Capacity of the queue of operators' requests: far more than operators send at once.
 const REQUEST_QUEUE: usize = 64;
@@ -61,6 +62,8 @@
     pub first_start: bool,
     /// Its data centre.
     pub data_centre: String,
+    /// Number of replicas that may be lost at the same time, with their disks.
+    pub tolerated_losses: usize,
     /// Durations of leases and of their safety margins.
     pub timing: Timing,
 }
@@ -98,6 +101,8 @@
     pub(crate) deferred: Vec<Deferred>,
     /// Present while this replica leads.
     pub(crate) leader: Option<Leader>,
+    /// The last recorded view of the voters, and whether this replica led then.
+    pub(crate) redundancy: Option<(Redundancy, bool)>,
     /// The last announcement to the linked processes of who leads.
     pub(crate) announced: Option<LeaderInfo>,
     pub(crate) metrics: Metrics,
@@ -154,6 +159,7 @@
             pending: Pending::default(),
             deferred: Vec::new(),
             leader: None,
+            redundancy: None,
             announced: None,
             metrics,
             log,
@@ -201,6 +207,7 @@
             self.process_outputs()?;
             self.lead(now);
             self.process_outputs()?;
+            self.record_redundancy();
             self.announce_leader(now);
             self.answer_deferred(now);
             if self.may_stop(now) {
--- a/crates/pond-replica/tests/support/mod.rs
+++ b/crates/pond-replica/tests/support/mod.rs
@@ -71,6 +71,7 @@
         seeds: seeds.iter().map(SocketAddr::to_string).collect(),
         first_start: true,
         data_centre: "here".to_owned(),
+        tolerated_losses: REPLICAS / 2,
         timing: Timing {
             lease_ms: 1_000,
             drift_permille: 25,
