Replica: tests of lost disks after replicas were replaced, which fail

Three replicas are replaced by others with empty disks at other addresses, the leader among them. When the last successor has had the four seconds of catch_up_s, all replicas are killed at once, as many as must be tolerated lose their disks, and all start again.

--- /dev/null
+++ b/crates/pond-replica/tests/replacement.rs
@@ -0,0 +1,174 @@
+//! Replicas that are replaced by others with empty disks at other addresses. Afterwards the quorum must tolerate as
+//! many lost disks as before, while all other replicas lose power at the same moment.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use pond_job::Configuration;
+use pond_replica::{Handle, Settings};
+use pond_store::{Crash, Memory};
+use tokio::net::TcpListener;
+use tokio::runtime::{Builder, Runtime};
+use tokio::time::{sleep, timeout};
+
+use support::{CATCH_UP, RECOVERY_TIMEOUT, listeners_of, settings, start_with};
+
+/// Time between a replacement and the next.
+const REPLACEMENT_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Time between the loss of a replica and the start of its successor.
+const SUCCESSOR_DELAY: Duration = Duration::from_millis(500);
+
+/// Time between an operator's attempts.
+const RETRY_INTERVAL: Duration = Duration::from_millis(50);
+
+/// A replica with its disk, on a runtime of its own so that it can be killed at once.
+struct Node {
+    address: SocketAddr,
+    disk: Memory,
+    handle: Handle,
+    runtime: Runtime,
+}
+
+impl Node {
+    fn start(settings: Settings, listener: std::net::TcpListener, disk: Memory) -> Node {
+        let runtime = Builder::new_multi_thread().worker_threads(1).enable_all().build();
+        let runtime = runtime.expect("a runtime");
+        let (address, guard) = (settings.internal, runtime.enter());
+        let listener = TcpListener::from_std(listener).expect("listens");
+        let (handle, _) = start_with(settings, listener, disk.clone());
+        drop(guard);
+        Node { address, disk, handle, runtime }
+    }
+
+    /// Kills the replica. Writes that are not synced are lost, as with its power.
+    fn kill(self) -> (SocketAddr, Memory) {
+        self.runtime.shutdown_background();
+        self.disk.crash(Crash::DropUnsynced);
+        (self.address, self.disk)
+    }
+}
+
+/// Opens a listener. The address may still be in use for a moment by a replica that was killed.
+fn bind(address: SocketAddr) -> std::net::TcpListener {
+    let started = Instant::now();
+    let listener = loop {
+        match std::net::TcpListener::bind(address) {
+            Err(_) if started.elapsed() < RECOVERY_TIMEOUT => std::thread::sleep(RETRY_INTERVAL),
+            bound => break bound.expect("binds"),
+        }
+    };
+    listener.set_nonblocking(true).expect("set");
+    listener
+}
+
+/// Starts `voters` replicas that form a quorum and must tolerate the loss of `losses` of them.
+async fn form(voters: usize, losses: usize) -> Vec<Node> {
+    let (listeners, addresses) = listeners_of(voters).await;
+    let nodes = listeners.into_iter().zip(&addresses).map(|(listener, address)| {
+        let listener = listener.into_std().expect("a listener");
+        Node::start(settings(*address, &addresses, losses, true), listener, Memory::new())
+    });
+    nodes.collect()
+}
+
+fn addresses(nodes: &[Node]) -> Vec<SocketAddr> {
+    nodes.iter().map(|node| node.address).collect()
+}
+
+/// Starts a replica with an empty disk at an address of its own.
+fn add(nodes: &mut Vec<Node>, losses: usize) {
+    let listener = bind("127.0.0.1:0".parse().expect("an address"));
+    let own = listener.local_addr().expect("an address");
+    let settings = settings(own, &addresses(nodes), losses, false);
+    nodes.push(Node::start(settings, listener, Memory::new()));
+}
+
+/// Returns the index of the leader.
+async fn leader(nodes: &[Node]) -> usize {
+    let handles: Vec<Handle> = nodes.iter().map(|node| node.handle.clone()).collect();
+    support::leader(&handles).await
+}
+
+/// Sends a configuration to all replicas in turn until one accepts it.
+async fn configure(nodes: &[Node], version: u64, source: &str) {
+    let accepted = async {
+        loop {
+            for node in nodes {
+                let source = source.to_owned();
+                let order = Configuration { version, source, ..Configuration::default() };
+                if node.handle.configure(order).await.is_ok() {
+                    return;
+                }
+            }
+            sleep(RETRY_INTERVAL).await;
+        }
+    };
+    timeout(RECOVERY_TIMEOUT, accepted).await.expect("accepted in time")
+}
+
+/// Kills all replicas at once. The last `lost` of them lose their disks, the others all writes that are not synced.
+/// Then starts all of them again.
+fn lose_power_and_disks(nodes: Vec<Node>, lost: usize, losses: usize) -> Vec<Node> {
+    let addresses = addresses(&nodes);
+    let intact = nodes.len() - lost;
+    let killed: Vec<(SocketAddr, Memory)> = nodes.into_iter().map(Node::kill).collect();
+    let restarted = killed.into_iter().enumerate().map(|(i, (address, disk))| {
+        let disk = if i < intact { disk } else { Memory::new() };
+        Node::start(settings(address, &addresses, losses, false), bind(address), disk)
+    });
+    restarted.collect()
+}
+
+/// Replaces the leader, and later the oldest replica, in turn.
+async fn replace_in_turn(nodes: &mut Vec<Node>, replacements: usize, losses: usize) {
+    for replacement in 0..replacements {
+        let replaced = if replacement % 2 == 0 { leader(nodes).await } else { 0 };
+        nodes.remove(replaced).kill();
+        sleep(SUCCESSOR_DELAY).await;
+        add(nodes, losses);
+        sleep(REPLACEMENT_INTERVAL).await;
+    }
+}
+
+/// Replaces replicas of a quorum, then takes as many disks as it must tolerate to lose. What was acknowledged must
+/// still be there.
+async fn survives_lost_disks_after_replacements(voters: usize, losses: usize) {
+    let mut nodes = form(voters, losses).await;
+    leader(&nodes).await;
+    replace_in_turn(&mut nodes, 3, losses).await;
+    sleep(CATCH_UP).await;
+    configure(&nodes, 1, "acknowledged").await;
+    let nodes = lose_power_and_disks(nodes, losses, losses);
+    let leader = &nodes[leader(&nodes).await];
+    let configuration = leader.handle.configuration().await.expect("a leader");
+    assert_eq!(configuration.as_deref(), Some("acknowledged"));
+    nodes.into_iter().for_each(|node| drop(node.kill()));
+}
+
+/// Guards against replaced replicas that stay voters, so that the loss of as many disks as the settings allow leaves no
+/// majority for good.
+#[tokio::test]
+async fn quorum_of_three_survives_a_lost_disk_after_replacements() {
+    survives_lost_disks_after_replacements(3, 1).await;
+}
+
+/// See [`quorum_of_three_survives_a_lost_disk_after_replacements`].
+#[tokio::test]
+async fn quorum_of_four_survives_a_lost_disk_after_replacements() {
+    survives_lost_disks_after_replacements(4, 1).await;
+}
+
+/// See [`quorum_of_three_survives_a_lost_disk_after_replacements`].
+#[tokio::test]
+async fn quorum_of_five_survives_lost_disks_after_replacements() {
+    survives_lost_disks_after_replacements(5, 2).await;
+}
+
+/// See [`quorum_of_three_survives_a_lost_disk_after_replacements`].
+#[tokio::test]
+async fn quorum_of_nine_survives_lost_disks_after_replacements() {
+    survives_lost_disks_after_replacements(9, 4).await;
+}
--- a/crates/pond-replica/tests/support/mod.rs
+++ b/crates/pond-replica/tests/support/mod.rs
@@ -20,6 +20,9 @@
 /// an election of up to 1 s. The rest allows for a busy machine.
 pub const RECOVERY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time after which the successor of a replaced replica no longer counts as lost.
+pub const CATCH_UP: Duration = Duration::from_secs(4);
+
 /// Time between checks for a leader.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -66,19 +69,47 @@
     disk: Memory,
     admitter: Option<Box<dyn Admitter>>,
 ) -> (Handle, JoinHandle<()>, Metrics) {
-    let settings = Settings {
+    start_settings(settings(internal, seeds, REPLICAS / 2, true), listener, disk, admitter)
+}
+
+/// Returns settings of a replica in a quorum that must tolerate `losses` lost replicas.
+pub fn settings(
+    internal: SocketAddr,
+    seeds: &[SocketAddr],
+    losses: usize,
+    first_start: bool,
+) -> Settings {
+    Settings {
         internal,
         seeds: seeds.iter().map(SocketAddr::to_string).collect(),
-        first_start: true,
+        first_start,
         data_centre: "here".to_owned(),
-        tolerated_losses: REPLICAS / 2,
+        tolerated_losses: losses,
         timing: Timing {
             lease_ms: 1_000,
             drift_permille: 25,
             timer_slack_ms: 250,
             retention_ms: 1_000,
         },
-    };
+    }
+}
+
+/// Starts a replica with the given settings.
+pub fn start_with(
+    settings: Settings,
+    listener: TcpListener,
+    disk: Memory,
+) -> (Handle, JoinHandle<()>) {
+    let (handle, task, _) = start_settings(settings, listener, disk, None);
+    (handle, task)
+}
+
+fn start_settings(
+    settings: Settings,
+    listener: TcpListener,
+    disk: Memory,
+    admitter: Option<Box<dyn Admitter>>,
+) -> (Handle, JoinHandle<()>, Metrics) {
     let files = Store::open(Box::new(disk)).expect("opens");
     let (metrics, log) = (Metrics::in_memory(), pond_log::silent());
     let adviser = Arc::new(NoAdviser);
@@ -110,8 +141,13 @@
 
 /// Opens the listeners of all replicas. Returns them with their addresses.
 pub async fn listeners() -> (Vec<TcpListener>, Vec<SocketAddr>) {
+    listeners_of(REPLICAS).await
+}
+
+/// Opens the listeners of a number of replicas. Returns them with their addresses.
+pub async fn listeners_of(replicas: usize) -> (Vec<TcpListener>, Vec<SocketAddr>) {
     let (mut listeners, mut addresses) = (Vec::new(), Vec::new());
-    for _ in 0..REPLICAS {
+    for _ in 0..replicas {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("listens");
         addresses.push(listener.local_addr().expect("an address"));
         listeners.push(listener);
