Replica: remove unreachable voters by what the quorum must tolerate

Cause: a replica at a new address says nothing about which one it replaces, and an unreachable voter was removed only from an even number and after ten seconds. Replicas were replaced every nine seconds, so each successor made the number odd again in time, and voters that were gone stayed for good: seven voters of which two were gone tolerate one loss, and two disks were lost.

Change: Removal decides by the losses that the settings require (f) and their catch_up_s. At least 2 f + 1 voters are kept. Of an even number one that has been unreachable for a quarter of catch_up_s is removed, of an odd number one of two such if too few losses are tolerated, or after ten seconds. It works because a majority of an even number always contains a majority of the others, so a voter that returns was not missed, and whenever 2 f + 1 voters can be reached, f more losses are tolerated afterwards (removal.rs, last test). Its presence is no longer forgotten when a voter is removed: one whose link to the leader stayed up presented itself only once.

--- a/crates/pond-log/src/events.rs
+++ b/crates/pond-log/src/events.rs
@@ -106,7 +106,7 @@
     REDUNDANCY_REDUCED = 315, Warning, "quorum tolerates fewer further losses than the settings require",
         "restart or replace the replicas named in `unreachable` before another one is lost; 316 follows";
     REDUNDANCY_RESTORED = 316, Info, "quorum tolerates the losses that the settings require", "nothing";
-    VOTER_REMOVED = 317, Warning, "unreachable voter is removed from the quorum",
+    UNREACHABLE_REMOVED = 317, Warning, "unreachable replica is removed from the quorum",
         "nothing: it is added again when it returns";
     MEMBER_ADDED = 312, Info, "replica added to the quorum", "nothing";
     CHANGE_ACCEPTED = 400, Info, "change accepted", "nothing";
--- a/crates/pond-replica/src/formation.rs
+++ b/crates/pond-replica/src/formation.rs
@@ -90,11 +90,6 @@
             self.present.remove(address);
         }
     }
-
-    /// Forgets a replica that cannot be reached, so that it is not added again.
-    pub fn forget(&mut self, address: &str) {
-        self.present.remove(address);
-    }
 }
 
 /// One change of the members.
--- a/crates/pond-replica/src/lead.rs
+++ b/crates/pond-replica/src/lead.rs
@@ -4,21 +4,19 @@
 use pond_job::{Change, Leader, Output, Question, ShareFigures};
 use pond_link::LinkKey;
 use pond_log::event;
+use pond_proto::Millis;
 use pond_proto::fleet::{LeaderInfo, Report};
+use pond_proto::quorum::Member;
 use pond_proto::wire::Body;
-use pond_proto::{Millis, Span};
 use pond_quorum::Input;
 
 use crate::formation::MemberChange;
 use crate::handle::Request;
 use crate::pending::Waiter;
 use crate::redundancy::Redundancy;
+use crate::removal::Removal;
 use crate::replica::Replica;
 
-/// Time in milliseconds after which an unreachable voter is removed, if fault tolerance does not suffer:
-/// longer than a restart or a network partition usually takes.
-const UNREACHABLE_TIMEOUT_MS: Span = 10_000;
-
 impl Replica {
     /// Makes the leader's decisions and acts on them, while this replica leads.
     pub(crate) fn lead(&mut self, now: Millis) {
@@ -138,24 +136,17 @@
         }
     }
 
-    /// Removes an unreachable voter if the number of voters is even: it tolerates no more losses than
-    /// one voter fewer.
+    /// Removes a member that is unreachable and without which the quorum tolerates no fewer losses.
     fn remove_unreachable(&mut self, now: Millis) {
-        let members = self.core.members();
-        let voters = members.voters().count();
-        if voters < 4 || !voters.is_multiple_of(2) {
-            return;
-        }
-        let unreachable = members.list.iter().find(|member| {
-            let down = self.peers.down_since(&member.address);
-            member.id != self.core.id()
-                && down.is_some_and(|since| now.since(since) >= UNREACHABLE_TIMEOUT_MS)
-        });
-        if let Some(unreachable) = unreachable.cloned() {
-            event!(self.log, REPLACED, "replica" => unreachable.address.clone());
-            self.formation.forget(&unreachable.address);
-            self.core.step(now, Input::Remove(unreachable.id));
-        }
+        let removal = Removal::new(self.settings.tolerated_losses, self.settings.catch_up_ms);
+        let unreachable_ms = |member: &Member| match member.id == self.core.id() {
+            true => None,
+            false => self.peers.down_since(&member.address).map(|since| now.since(since)),
+        };
+        let Some(member) = removal.next(self.core.members(), unreachable_ms) else { return };
+        event!(self.log, UNREACHABLE_REMOVED, "replica" => member.address.clone(),
+            "voter" => member.voter, "unreachable_ms" => unreachable_ms(&member).unwrap_or_default());
+        self.core.step(now, Input::Remove(member.id));
     }
 
     /// Returns the addresses of the members, or of all known replicas while there is no quorum yet.
--- a/crates/pond-replica/src/lib.rs
+++ b/crates/pond-replica/src/lib.rs
@@ -16,6 +16,7 @@
 mod peers;
 mod pending;
 mod redundancy;
+mod removal;
 mod replica;
 
 pub use admission::{Admitter, Submission};
@@ -23,4 +24,5 @@
 pub use formation::{Formation, MemberChange};
 pub use handle::{Evacuated, Evacuation, Handle, RequestError};
 pub use redundancy::Redundancy;
+pub use removal::Removal;
 pub use replica::{Replica, Settings};
--- a/crates/pond-replica/src/replica.rs
+++ b/crates/pond-replica/src/replica.rs
@@ -64,6 +64,9 @@
     pub data_centre: String,
     /// Number of replicas that may be lost at the same time, with their disks.
     pub tolerated_losses: usize,
+    /// Time in milliseconds after the start of a replica from which it no longer counts as lost, nor does the
+    /// one that it replaces.
+    pub catch_up_ms: Span,
     /// Durations of leases and of their safety margins.
     pub timing: Timing,
 }
--- a/crates/pond-replica/tests/support/mod.rs
+++ b/crates/pond-replica/tests/support/mod.rs
@@ -85,6 +85,7 @@
         first_start,
         data_centre: "here".to_owned(),
         tolerated_losses: losses,
+        catch_up_ms: CATCH_UP.as_millis() as u64,
         timing: Timing {
             lease_ms: 1_000,
             drift_permille: 25,
