Replica: count the silence of a new address from when it is dialled

An address that became known later counted as unreachable since the start of the process. A replica that became leader just after it had learned of a new voter, and before its link to it was up, would have removed that voter from an even number at once.

--- a/crates/pond-replica/src/peers.rs
+++ b/crates/pond-replica/src/peers.rs
@@ -63,12 +63,13 @@
         tokio::spawn(pond_link::accept(listener, config.clone(), events.clone()));
         let (dialled, addresses) = (BTreeMap::new(), BTreeMap::new());
         let mut peers = Peers { own_address: own, dialled, addresses, config, events, log };
-        peers.add_addresses(&settings.seeds);
+        peers.add_addresses(Millis(0), &settings.seeds);
         peers
     }
 
-    /// Dials the replicas at those addresses that are not known yet.
-    pub fn add_addresses(&mut self, addresses: &[String]) {
+    /// Dials the replicas at those addresses that are not known yet. They count as unreachable from now on,
+    /// until a link is up.
+    pub fn add_addresses(&mut self, now: Millis, addresses: &[String]) {
         for address in addresses {
             if *address == self.own_address || self.dialled.contains_key(address) {
                 continue;
@@ -80,7 +81,7 @@
             let link = LinkKey(self.dialled.len() as u64);
             let (config, events) = (self.config.clone(), self.events.clone());
             tokio::spawn(pond_link::dial(parsed, link, config, events));
-            let peer = Peer { link, sender: None, down_since: Some(Millis(0)) };
+            let peer = Peer { link, sender: None, down_since: Some(now) };
             self.dialled.insert(address.clone(), peer);
         }
     }
@@ -123,7 +124,7 @@
         match event.kind {
             EventKind::Up { hello, sender, .. } if link.is_accepted() => {
                 if hello.role() == WireRole::Control && !hello.address.is_empty() {
-                    self.peers.add_addresses(&[hello.address]);
+                    self.peers.add_addresses(now, &[hello.address]);
                 }
                 if let Some(lead) = &self.announced {
                     sender.send(Body::LeaderInfo(lead.clone()));
@@ -177,7 +178,7 @@
                 // The sender repeats the message.
                 _ => {}
             },
-            Body::LeaderInfo(lead) => self.peers.add_addresses(&lead.replicas),
+            Body::LeaderInfo(lead) => self.peers.add_addresses(now, &lead.replicas),
             Body::JobRequest(request) => self.caller_request(now, link, request),
             Body::Report(report) => self.report(now, link, report),
             _ => {}
@@ -199,7 +200,7 @@
         if let Some(client) = self.clients.get_mut(&link) {
             client.presented = Some((member.address.clone(), member.id));
         }
-        self.peers.add_addresses(std::slice::from_ref(&member.address));
+        self.peers.add_addresses(now, std::slice::from_ref(&member.address));
         self.peers.addresses.insert(member.id, member.address.clone());
         // The log is shorter than what the replica has acknowledged: its disk was restored to an
         // older state, and its votes cannot be trusted.
@@ -215,9 +216,10 @@
 
     /// Dials all members, and records their addresses by identity.
     pub(crate) fn connect_to_members(&mut self) {
+        let now = self.now();
         for member in &self.core.members().list {
             self.peers.addresses.insert(member.id, member.address.clone());
-            self.peers.add_addresses(std::slice::from_ref(&member.address));
+            self.peers.add_addresses(now, std::slice::from_ref(&member.address));
         }
     }
 }
--- a/crates/pond-replica/src/replica.rs
+++ b/crates/pond-replica/src/replica.rs
@@ -239,7 +239,7 @@
         let now = self.now();
         match request {
             Request::Operator(command) => self.operator_request(now, command),
-            Request::AddAddresses(addresses) => self.peers.add_addresses(&addresses),
+            Request::AddAddresses(addresses) => self.peers.add_addresses(now, &addresses),
             Request::Advised(question, permits) => {
                 if let Some(leader) = &mut self.leader {
                     leader.advised(now, &question, permits);
