Quorum: a learner that no longer answers does not become a voter

Cause: Core::promote looked only at the acknowledged log. A learner that had caught up while another change of members was not yet committed, and was lost then, became a voter as soon as that change was committed.

Change: it must also have answered a round that was sent within the shortest election timeout. That is the time for which the answers of voters count for the lease, and five intervals between heartbeats, so one lost answer delays no learner. One that answers again is promoted by the next tick.

rules.rs: the new test failed before (the lost learner became a voter) and passes now.

--- a/crates/pond-quorum/src/leader.rs
+++ b/crates/pond-quorum/src/leader.rs
@@ -125,7 +125,7 @@
         if now.since(leading.heartbeat_sent) >= self.tuning.heartbeat_ms {
             self.broadcast(now);
         }
-        self.promote();
+        self.promote(now);
     }
 
     /// Starts a new round of heartbeats.
@@ -429,17 +429,21 @@
         }
     }
 
-    /// Makes one learner that has caught up a voter.
-    fn promote(&mut self) {
+    /// Makes one learner that has caught up a voter. A learner that may have been lost since does not become one: it
+    /// would raise the majority without ever voting.
+    fn promote(&mut self, now: Millis) {
         if !self.may_change_members() {
             return;
         }
         let last = self.log.last_index();
         let caught_up = self.tuning.max_learner_lag;
+        let election_ms = self.tuning.election_ms;
         let State::Leader(leading) = &self.state else { return };
         let ready = |member: &&Member| {
             let progress = leading.progress.get(&member.id);
-            progress.is_some_and(|p| p.matched > 0 && p.matched + caught_up >= last)
+            progress.is_some_and(|p| {
+                p.matched > 0 && p.matched + caught_up >= last && p.answers(now, election_ms)
+            })
         };
         let learners = self.lists.current().list.iter().filter(|member| !member.voter);
         let Some(id) = learners.filter(ready).map(|member| member.id).next() else { return };
--- a/crates/pond-quorum/src/progress.rs
+++ b/crates/pond-quorum/src/progress.rs
@@ -1,6 +1,6 @@
 //! The leader's view of a follower.
 
-use pond_proto::Millis;
+use pond_proto::{Millis, Span};
 
 /// The leader's view of one follower.
 #[derive(Clone, Debug)]
@@ -38,6 +38,11 @@
         }
     }
 
+    /// Whether the follower has answered a round of heartbeats that was sent within the shortest election timeout.
+    pub fn answers(&self, now: Millis, election_ms: Span) -> bool {
+        self.round > 0 && now.since(self.heard) < election_ms
+    }
+
     /// Whether entries have been sent that the follower has not acknowledged.
     pub fn unacknowledged(&self) -> bool {
         !self.probing && self.next > self.matched + 1
--- a/crates/pond-quorum/tests/rules.rs
+++ b/crates/pond-quorum/tests/rules.rs
@@ -220,3 +220,52 @@
     core.step(Millis(AFTER_TIMEOUT + 10), Input::TransferLeadership);
     assert_eq!(core.lease_until(), None);
 }
+
+/// Interval between heartbeats, in milliseconds.
+const HEARTBEAT_MS: usize = 50;
+
+/// Returns the round of the last heartbeat or append that the leader sends at `now`, after a tick.
+fn tick(core: &mut Core, now: u64) -> Option<u64> {
+    core.step(Millis(now), Input::Tick);
+    let outputs = core.outputs(Millis(now));
+    core.step(Millis(now), Input::Persisted);
+    let rounds = outputs.into_iter().filter_map(|output| match output {
+        Output::Send(Envelope { body: Some(Body::Append(append)), .. }) => Some(append.round),
+        _ => None,
+    });
+    rounds.last()
+}
+
+/// Lets the leader run until `until`. Each of the given followers answers every round at once and has the log up to
+/// the given index.
+fn run_with_followers(core: &mut Core, from: u64, until: u64, followers: &[(u64, u64)]) {
+    for now in (from..until).step_by(HEARTBEAT_MS) {
+        let Some(round) = tick(core, now) else { continue };
+        for (follower, index) in followers {
+            let reply = AppendReply { matched: true, index: *index, conflict_term: 0, round };
+            let body = Some(Body::AppendReply(reply));
+            let message = Envelope { from: *follower, to: 1, term: TERM + 1, body };
+            core.step(Millis(now), Input::Message(message));
+        }
+    }
+}
+
+/// Guards against a successor that is lost before it votes and becomes a voter nevertheless, because it had caught up
+/// earlier.
+#[test]
+fn learner_that_was_lost_after_it_had_caught_up_does_not_become_a_voter() {
+    let start = AFTER_TIMEOUT;
+    let mut core = leader();
+    run_with_followers(&mut core, start, start + 100, &[(2, 3), (3, 3)]);
+    let learner = Member { id: 4, name: "control-4".to_owned(), ..Member::default() };
+    core.step(Millis(start + 100), Input::Add(learner));
+    assert_eq!(core.last_index(), 4);
+    // The learner has all entries, but the voters delay the commit of the change that added it.
+    run_with_followers(&mut core, start + 100, start + 200, &[(2, 3), (3, 3), (4, 4)]);
+    run_with_followers(&mut core, start + 200, start + 1_000, &[(2, 3), (3, 3)]);
+    run_with_followers(&mut core, start + 1_000, start + 1_500, &[(2, 4), (3, 4)]);
+    assert!(!core.members().is_voter(4));
+    assert!(core.may_change_members());
+    run_with_followers(&mut core, start + 1_500, start + 1_600, &[(2, 4), (3, 4), (4, 4)]);
+    assert!(core.members().is_voter(4), "it votes once it answers again");
+}
