Quorum: hand over leadership to a voter that answers

What callers would have seen: after a planned stop of the leader, or when its disk becomes full, nobody leads for up to two election timeouts (1 s) and an election.

Cause: the target of a hand-over was the voter with the highest acknowledged log, also if it is gone.

Change: voters that have answered a round sent within the shortest election timeout come first, the one with the highest log among them. If none has, the choice is as before; the leader is about to step down then. A target cannot be removed from the members during a hand-over: no change of members is proposed until the leader has stepped down.

rules.rs: the new test failed before (the lost replica was asked to take over, the other never) and passes now.

--- a/crates/pond-quorum/src/leader.rs
+++ b/crates/pond-quorum/src/leader.rs
@@ -372,11 +372,14 @@
     }
 
     pub(crate) fn transfer_leadership(&mut self, now: Millis) {
-        let until = now + self.tuning.election_ms * 2;
+        let election_ms = self.tuning.election_ms;
+        let until = now + election_ms * 2;
         let State::Leader(leading) = &mut self.state else { return };
         let members = self.lists.current();
         let voters = leading.progress.iter().filter(|(id, _)| members.is_voter(**id));
-        let best = voters.max_by_key(|(_, progress)| (progress.matched, progress.heard));
+        let best = voters.max_by_key(|(_, progress)| {
+            (progress.answers(now, election_ms), progress.matched, progress.heard)
+        });
         let Some(best) = best.map(|(id, _)| *id) else { return };
         leading.transfer = Some((best, until));
         self.request_takeover_if_ready(best);
--- a/crates/pond-quorum/tests/rules.rs
+++ b/crates/pond-quorum/tests/rules.rs
@@ -269,3 +269,35 @@
     run_with_followers(&mut core, start + 1_500, start + 1_600, &[(2, 4), (3, 4), (4, 4)]);
     assert!(core.members().is_voter(4), "it votes once it answers again");
 }
+
+/// Returns the replicas that are asked to take over.
+fn asked_to_take_over(core: &mut Core, now: u64) -> Vec<u64> {
+    let outputs = core.outputs(Millis(now)).into_iter();
+    let asked = outputs.filter_map(|output| match output {
+        Output::Send(Envelope { to, body: Some(Body::TakeOver(_)), .. }) => Some(to),
+        _ => None,
+    });
+    asked.collect()
+}
+
+/// Guards against a planned stop that hands over to a replica that is gone, so that nobody leads until it is given up.
+#[test]
+fn leadership_is_transferred_to_a_voter_that_answers() {
+    let start = AFTER_TIMEOUT;
+    let mut core = leader();
+    run_with_followers(&mut core, start, start + 100, &[(2, 3), (3, 3)]);
+    core.step(Millis(start + 100), Input::Propose { ticket: 1, data: vec![1] });
+    // Replica 2 has the last entry and is lost. Replica 3 has not acknowledged it yet.
+    run_with_followers(&mut core, start + 100, start + 200, &[(2, 4), (3, 3)]);
+    run_with_followers(&mut core, start + 200, start + 600, &[(3, 3)]);
+    core.step(Millis(start + 600), Input::TransferLeadership);
+    assert_eq!(
+        asked_to_take_over(&mut core, start + 600),
+        [0; 0],
+        "none has all entries and answers"
+    );
+    let reply = AppendReply { matched: true, index: 4, conflict_term: 0, round: 0 };
+    let message = Envelope { from: 3, to: 1, term: TERM + 1, body: Some(Body::AppendReply(reply)) };
+    core.step(Millis(start + 610), Input::Message(message));
+    assert_eq!(asked_to_take_over(&mut core, start + 610), [3]);
+}
