Replica: voters with a lost disk count as unreachable, and a lost majority is logged

Cause: a voter counted as reachable if its address had a link, also if a replica with another disk answers there.

Change: a voter whose address has presented another disk counts as unreachable. A replica that reaches no majority logs 318; until now nobody logged anything without a leader. No change of members counts as possible while leadership is transferred, so 310, 312 and 317 are not repeated then. The code moves to membership.rs.

--- a/crates/pond-log/src/events.rs
+++ b/crates/pond-log/src/events.rs
@@ -104,10 +104,12 @@
         "free space in the data folder's file system";
     DISK_RECOVERED = 314, Info, "disk accepts writes again", "nothing";
     REDUNDANCY_REDUCED = 315, Warning, "quorum tolerates fewer further losses than the settings require",
-        "restart or replace the replicas named in `unreachable` before another one is lost; 316 follows";
+        "if 316 does not follow, restart or replace the replicas named in `unreachable`";
     REDUNDANCY_RESTORED = 316, Info, "quorum tolerates the losses that the settings require", "nothing";
     UNREACHABLE_REMOVED = 317, Warning, "unreachable replica is removed from the quorum",
         "nothing: it is added again when it returns";
+    MAJORITY_UNREACHABLE = 318, Warning, "replica cannot reach a majority of the voters",
+        "start the replicas named in `unreachable` again on their disks";
     MEMBER_ADDED = 312, Info, "replica added to the quorum", "nothing";
     CHANGE_ACCEPTED = 400, Info, "change accepted", "nothing";
     CHANGE_REFUSED = 401, Info, "change refused", "nothing: the sender received the reason";
--- a/crates/pond-quorum/src/leader.rs
+++ b/crates/pond-quorum/src/leader.rs
@@ -395,9 +395,11 @@
         }
     }
 
-    /// Whether a change of members may be proposed: the leader is ready and the previous change is committed.
+    /// Whether a change of members may be proposed: the leader is ready, transfers leadership to no other
+    /// replica, and the previous change is committed.
     pub fn may_change_members(&self) -> bool {
-        self.ready() && self.lists.index() <= self.commit
+        let State::Leader(leading) = &self.state else { return false };
+        self.ready() && !leading.is_transferring_leadership() && self.lists.index() <= self.commit
     }
 
     fn propose_members(&mut self, members: Members) {
--- a/crates/pond-replica/src/formation.rs
+++ b/crates/pond-replica/src/formation.rs
@@ -83,6 +83,11 @@
         None
     }
 
+    /// Whether another disk is in use at the address of a member, so that the member does not return.
+    pub fn has_lost_disk(&self, member: &Member) -> bool {
+        self.present.get(&member.address).is_some_and(|present| present.member.id != member.id)
+    }
+
     /// Handles the loss of the link on which a replica presented itself. Its information may be out of
     /// date, so it replaces no member until it presents itself again.
     pub fn link_lost(&mut self, address: &str, id: u64) {
--- a/crates/pond-replica/src/lead.rs
+++ b/crates/pond-replica/src/lead.rs
@@ -1,20 +1,15 @@
-//! Duties of the leader: decisions about runs, orders to agents, changes of members. Also announces
-//! the leader to linked processes.
+//! Duties of the leader: decisions about runs, orders to agents. Also announces the leader to linked
+//! processes.
 
 use pond_job::{Change, Leader, Output, Question, ShareFigures};
 use pond_link::LinkKey;
 use pond_log::event;
 use pond_proto::Millis;
 use pond_proto::fleet::{LeaderInfo, Report};
-use pond_proto::quorum::Member;
 use pond_proto::wire::Body;
-use pond_quorum::Input;
 
-use crate::formation::MemberChange;
 use crate::handle::Request;
 use crate::pending::Waiter;
-use crate::redundancy::Redundancy;
-use crate::removal::Removal;
 use crate::replica::Replica;
 
 impl Replica {
@@ -79,76 +74,6 @@
         leader.report(&self.state, now, link.0, &client.name, report);
     }
 
-    /// Returns how many losses the quorum tolerates, judged by this replica's links.
-    pub(crate) fn current_redundancy(&self) -> Redundancy {
-        Redundancy::new(self.core.members(), |member| {
-            member.id == self.core.id() || self.peers.down_since(&member.address).is_none()
-        })
-    }
-
-    /// Updates the metrics of the voters. The leader also logs when the quorum tolerates fewer losses than
-    /// required, and when it tolerates them again.
-    pub(crate) fn record_redundancy(&mut self) {
-        let redundancy = self.current_redundancy();
-        let leads = self.core.ready();
-        if self.redundancy.as_ref().is_some_and(|(last, led)| *last == redundancy && *led == leads)
-        {
-            return;
-        }
-        self.metrics.gauge("voters", redundancy.voters().len() as u64);
-        self.metrics.gauge("unreachable_voters", redundancy.unreachable().len() as u64);
-        self.metrics.gauge("tolerated_losses", redundancy.tolerated_losses() as u64);
-        if leads {
-            self.log_redundancy(&redundancy);
-        }
-        self.redundancy = Some((redundancy, leads));
-    }
-
-    fn log_redundancy(&self, redundancy: &Redundancy) {
-        let tolerated = redundancy.tolerated_losses();
-        let required = self.settings.tolerated_losses;
-        let voters = redundancy.voters().join(" ");
-        let unreachable = redundancy.unreachable().join(" ");
-        if tolerated < required {
-            event!(self.log, REDUNDANCY_REDUCED, "voters" => voters, "unreachable" => unreachable,
-                "tolerated" => tolerated, "required" => required);
-        } else {
-            event!(self.log, REDUNDANCY_RESTORED, "voters" => voters, "unreachable" => unreachable,
-                "tolerated" => tolerated, "required" => required);
-        }
-    }
-
-    fn change_members(&mut self, now: Millis) {
-        if !self.core.may_change_members() {
-            return;
-        }
-        let reachable = |address: &str| self.peers.down_since(address).is_none();
-        match self.formation.next_change(self.core.members(), reachable) {
-            Some(MemberChange::Remove(old)) => {
-                event!(self.log, REPLACED, "replica" => old.address.clone());
-                self.core.step(now, Input::Remove(old.id));
-            }
-            Some(MemberChange::Add(new)) => {
-                event!(self.log, MEMBER_ADDED, "replica" => new.address.clone());
-                self.core.step(now, Input::Add(new));
-            }
-            None => self.remove_unreachable(now),
-        }
-    }
-
-    /// Removes a member that is unreachable and without which the quorum tolerates no fewer losses.
-    fn remove_unreachable(&mut self, now: Millis) {
-        let removal = Removal::new(self.settings.tolerated_losses, self.settings.catch_up_ms);
-        let unreachable_ms = |member: &Member| match member.id == self.core.id() {
-            true => None,
-            false => self.peers.down_since(&member.address).map(|since| now.since(since)),
-        };
-        let Some(member) = removal.next(self.core.members(), unreachable_ms) else { return };
-        event!(self.log, UNREACHABLE_REMOVED, "replica" => member.address.clone(),
-            "voter" => member.voter, "unreachable_ms" => unreachable_ms(&member).unwrap_or_default());
-        self.core.step(now, Input::Remove(member.id));
-    }
-
     /// Returns the addresses of the members, or of all known replicas while there is no quorum yet.
     fn replicas(&self) -> Vec<String> {
         let members = &self.core.members().list;
--- a/crates/pond-replica/src/lib.rs
+++ b/crates/pond-replica/src/lib.rs
@@ -11,6 +11,7 @@
 mod formation;
 mod handle;
 mod lead;
+mod membership;
 mod operators;
 mod outputs;
 mod peers;
--- a/crates/pond-replica/src/redundancy.rs
+++ b/crates/pond-replica/src/redundancy.rs
@@ -30,10 +30,22 @@
         &self.unreachable
     }
 
+    /// Whether the reachable voters are a majority.
+    pub fn has_majority(&self) -> bool {
+        self.reachable() >= self.majority()
+    }
+
     /// Returns how many of the reachable voters may be lost before the others are no majority; 0 also if
     /// they are none already.
     pub fn tolerated_losses(&self) -> usize {
-        let majority = self.voters.len() / 2 + 1;
-        (self.voters.len() - self.unreachable.len()).saturating_sub(majority)
+        self.reachable().saturating_sub(self.majority())
+    }
+
+    fn reachable(&self) -> usize {
+        self.voters.len() - self.unreachable.len()
+    }
+
+    fn majority(&self) -> usize {
+        self.voters.len() / 2 + 1
     }
 }
