Replica: a successor takes the place of an unreachable voter instead of voting beside it

What callers could see: with 2 f + 1 voters a successor voted as soon as it had caught up, and its predecessor was removed a second after its loss.

Change: learners wait while a voter is unreachable, and a voter that has been unreachable for an eighth of catch_up_s is removed once a learner has caught up; then the learner votes. An even number above 2 f + 1 loses an unreachable voter after the same time, half of the former, so that a predecessor which leaves after its successor has come is removed in time too. Two of an odd number still take a quarter. Below 2 f + 1 the former ten seconds apply to an even number again, so that a setting which no quorum can keep is no worse off.

--- a/crates/pond-quorum/src/leader.rs
+++ b/crates/pond-quorum/src/leader.rs
@@ -11,6 +11,7 @@
 use crate::core::{Core, State};
 use crate::io::{Output, Rejection, Ticket};
 use crate::progress::Progress;
+use crate::tuning::Tuning;
 
 /// A read that waits until a majority confirms the leader.
 #[derive(Debug)]
@@ -434,24 +435,27 @@
         }
     }
 
-    /// Makes one learner that has caught up a voter. A learner that may have been lost since does not become one: it
-    /// would raise the majority without ever voting.
-    fn promote(&mut self, now: Millis) {
-        if !self.may_change_members() {
-            return;
-        }
+    /// Returns a learner that has caught up and answers, if there is one. A learner that may have been lost since
+    /// must not become a voter: it would raise the majority without ever voting.
+    pub fn caught_up_learner(&self, now: Millis) -> Option<u64> {
+        let State::Leader(leading) = &self.state else { return None };
         let last = self.log.last_index();
-        let caught_up = self.tuning.max_learner_lag;
-        let election_ms = self.tuning.election_ms;
-        let State::Leader(leading) = &self.state else { return };
-        let ready = |member: &&Member| {
-            let progress = leading.progress.get(&member.id);
-            progress.is_some_and(|p| {
-                p.matched > 0 && p.matched + caught_up >= last && p.answers(now, election_ms)
+        let Tuning { max_learner_lag, election_ms, .. } = self.tuning;
+        let caught_up = |member: &&Member| {
+            leading.progress.get(&member.id).is_some_and(|p| {
+                p.matched > 0 && p.matched + max_learner_lag >= last && p.answers(now, election_ms)
             })
         };
-        let learners = self.lists.current().list.iter().filter(|member| !member.voter);
-        let Some(id) = learners.filter(ready).map(|member| member.id).next() else { return };
+        let mut learners = self.lists.current().list.iter().filter(|member| !member.voter);
+        learners.find(caught_up).map(|member| member.id)
+    }
+
+    /// Makes one learner that has caught up a voter, unless promotions are held.
+    fn promote(&mut self, now: Millis) {
+        if self.promotions_held || !self.may_change_members() {
+            return;
+        }
+        let Some(id) = self.caught_up_learner(now) else { return };
         let mut list = self.lists.current().list.clone();
         for member in &mut list {
             member.voter |= member.id == id;
--- a/crates/pond-replica/src/removal.rs
+++ b/crates/pond-replica/src/removal.rs
@@ -1,22 +1,28 @@
 //! Which unreachable members are removed from the quorum.
 
+use std::cmp::Reverse;
+
 use pond_proto::Span;
 use pond_proto::quorum::{Member, Members};
 
-/// Share of the time for catching up after which an unreachable member may be removed. The rest of that
-/// time is for noticing the loss, an election and the changes of members themselves.
-const CATCH_UP_SHARE: Span = 4;
+/// The time to catch up, divided by the time after which an unreachable member may be removed. The rest is
+/// for noticing the loss, an election and the changes of members themselves.
+const CATCH_UP_DIVISOR: Span = 8;
 
-/// Time in milliseconds after which an unreachable voter counts as lost for good even if the quorum
-/// tolerates enough losses: longer than a restart or a network partition usually takes.
+/// Time in milliseconds after which an unreachable voter may be removed although the quorum tolerates enough
+/// losses, or although fewer voters are left than it needs for that.
 const LONG_OUTAGE_MS: Span = 10_000;
 
+/// Smallest even number of voters that can lose one and still have a majority.
+const MIN_EVEN_VOTERS: usize = 4;
+
 /// Decides which unreachable members are removed, so that the quorum tolerates the required number of
 /// losses although some of its voters do not return.
 ///
-/// A replica that is replaced cannot be told from one that is only unreachable. So removals must not harm
-/// if the member returns: enough voters are kept to tolerate the required losses, and of an even number of
-/// voters one is removed, because every majority of them contains a majority of the others.
+/// A replica that is replaced cannot be told from one that is only unreachable. So a removal must not harm
+/// if the member returns: a successor that is ready takes its place, or the number of voters is even, and
+/// then every majority of them contains a majority of the others. Two voters of an odd number are removed
+/// only where too few losses are tolerated otherwise.
 #[derive(Clone, Copy, Debug)]
 pub struct Removal {
     tolerated_losses: usize,
@@ -27,43 +33,68 @@
     /// Creates the rules of a quorum that must tolerate `tolerated_losses` lost replicas, and in which a
     /// replaced replica no longer counts as lost once its successor has run for `catch_up_ms`.
     pub fn new(tolerated_losses: usize, catch_up_ms: Span) -> Removal {
-        Removal { tolerated_losses, timeout_ms: catch_up_ms / CATCH_UP_SHARE }
+        Removal { tolerated_losses, timeout_ms: catch_up_ms / CATCH_UP_DIVISOR }
+    }
+
+    /// Returns the number of voters that tolerate the required losses.
+    fn required_voters(&self) -> usize {
+        2 * self.tolerated_losses + 1
+    }
+
+    /// Whether learners must wait before they become voters: an unreachable voter is to be removed first, so
+    /// that the loss of its successor cannot leave two voters that do not return.
+    pub fn holds_promotions(
+        &self,
+        members: &Members,
+        unreachable_ms: impl Fn(&Member) -> Option<Span>,
+    ) -> bool {
+        let mut voters = members.list.iter().filter(|member| member.voter);
+        members.voters().count() >= self.required_voters()
+            && voters.any(|voter| unreachable_ms(voter).is_some())
     }
 
     /// Returns the member to remove next, if any. `unreachable_ms` returns for how long a member has been
-    /// unreachable, or `None` if it can be reached.
+    /// unreachable, or `None` if it can be reached. `successor_ready` tells whether a learner has caught up.
     pub fn next(
         &self,
         members: &Members,
         unreachable_ms: impl Fn(&Member) -> Option<Span>,
+        successor_ready: bool,
     ) -> Option<Member> {
-        let lost = members.list.iter().filter_map(|member| Some((unreachable_ms(member)?, member)));
-        let mut lost: Vec<(Span, &Member)> = lost.collect();
-        lost.sort_by_key(|(span, member)| (std::cmp::Reverse(*span), member.id));
-        let expired = |(span, _): &&(Span, &Member)| *span >= self.timeout_ms;
-        let learner = lost.iter().filter(expired).find(|(_, member)| !member.voter);
-        if let Some((_, learner)) = learner {
+        let spans =
+            members.list.iter().filter_map(|member| Some((unreachable_ms(member)?, member)));
+        let mut unreachable: Vec<(Span, &Member)> = spans.collect();
+        unreachable.sort_by_key(|(span, member)| (Reverse(*span), member.id));
+        let expired_learner =
+            |(span, member): &&(Span, &Member)| !member.voter && *span >= self.timeout_ms;
+        if let Some((_, learner)) = unreachable.iter().find(expired_learner) {
             return Some((*learner).clone());
         }
-        lost.retain(|(_, member)| member.voter);
-        let expired = lost.iter().filter(expired).count();
-        let (_, longest) = lost.first()?;
-        self.may_remove(members.voters().count(), &lost, expired).then(|| (*longest).clone())
+        unreachable.retain(|(_, member)| member.voter);
+        let (_, longest) = unreachable.first()?;
+        let spans: Vec<Span> = unreachable.iter().map(|(span, _)| *span).collect();
+        let voters = members.voters().count();
+        self.may_remove_voter(voters, &spans, successor_ready).then(|| (*longest).clone())
     }
 
-    /// Whether the longest unreachable voter may be removed. `lost` are all unreachable voters, the longest
-    /// unreachable first, of which `expired` have been unreachable for the timeout.
-    fn may_remove(&self, voters: usize, lost: &[(Span, &Member)], expired: usize) -> bool {
-        if voters <= 2 * self.tolerated_losses + 1 {
-            return false;
+    /// Whether the voter that has been unreachable for the longest time may be removed. `unreachable` holds
+    /// the times of all unreachable voters, the longest first.
+    fn may_remove_voter(&self, voters: usize, unreachable: &[Span], successor_ready: bool) -> bool {
+        let longest = unreachable.first().copied().unwrap_or_default();
+        let required = self.required_voters();
+        if successor_ready && voters >= required {
+            return longest >= self.timeout_ms;
         }
         if voters.is_multiple_of(2) {
-            return expired >= 1;
+            let timeout_ms = if voters > required { self.timeout_ms } else { LONG_OUTAGE_MS };
+            return voters >= MIN_EVEN_VOTERS && longest >= timeout_ms;
         }
-        // Without one voter, an odd number tolerates no more losses; without two of them, one more.
-        let majority = voters / 2 + 1;
-        let tolerated = (voters - lost.len()).saturating_sub(majority);
-        let second_is_long_lost = lost.get(1).is_some_and(|(span, _)| *span >= LONG_OUTAGE_MS);
-        expired >= 2 && (tolerated < self.tolerated_losses || second_is_long_lost)
+        // An odd number tolerates no more losses without one voter, and one more without two.
+        let Some(second) = unreachable.get(1).copied().filter(|_| voters > required) else {
+            return false;
+        };
+        let tolerated = (voters - unreachable.len()).saturating_sub(voters / 2 + 1);
+        let tolerates_too_few = tolerated < self.tolerated_losses;
+        second >= LONG_OUTAGE_MS || (tolerates_too_few && second >= 2 * self.timeout_ms)
     }
 }
