Replica: keep the removal of a member with an outdated disk until it is possible

What operators saw: event 311 says that a replica with an outdated disk is removed, but it stayed a voter if another change of members was not committed yet: the removal was dropped. It presents itself once per link, so it stayed for good, counted as a copy of entries that its disk lacks.

Change: the intent is kept until a change is possible, and dropped with the lead, as only a leader knows what others have acknowledged.

--- a/crates/pond-replica/src/formation.rs
+++ b/crates/pond-replica/src/formation.rs
@@ -4,7 +4,7 @@
 //! leader adds every other replica when it presents itself. A replica that returns with another disk
 //! is a new member; the member with the previous disk is removed first.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use pond_proto::quorum::{Announce, Member, Members};
 
@@ -16,13 +16,15 @@
     initial: Vec<String>,
     formed: bool,
     present: BTreeMap<String, Announce>,
+    /// Identities of members whose disks were restored to an older state.
+    outdated: BTreeSet<u64>,
 }
 
 impl Formation {
     /// `formed` says whether the disk of this replica holds a log. `initial` are the addresses of the
     /// replicas that form the quorum; it is empty except on the first start.
     pub fn new(own: Member, initial: Vec<String>, formed: bool) -> Formation {
-        Formation { own, initial, formed, present: BTreeMap::new() }
+        Formation { own, initial, formed, present: BTreeMap::new(), outdated: BTreeSet::new() }
     }
 
     /// Returns the message with which this replica presents itself. `last_index` is the index of its
@@ -46,6 +48,21 @@
         self.present.insert(present.member.address.clone(), present);
     }
 
+    /// Records that the disk of a member was restored to an older state, so that it must be removed.
+    pub fn record_outdated(&mut self, id: u64) {
+        self.outdated.insert(id);
+    }
+
+    /// Handles that the removal of a member with an outdated disk was proposed. It may be added again later.
+    pub fn outdated_removed(&mut self, id: u64) {
+        self.outdated.remove(&id);
+    }
+
+    /// Handles the loss of leadership. Only a leader knows which entries others have acknowledged.
+    pub fn leadership_lost(&mut self) {
+        self.outdated.clear();
+    }
+
     /// Returns the initial members, once all replicas that form the quorum have presented themselves and
     /// are new.
     pub fn initial_members(&self) -> Option<Members> {
@@ -60,7 +77,8 @@
         Some(Members::new(list))
     }
 
-    /// Returns the next change of members that a leader should make. A replica that returned with
+    /// Returns the next change of members that a leader should make. A member with an outdated disk is
+    /// removed. A replica that returned with
     /// another disk is removed, then added; one that is not a member is added. A replica is added only
     /// once this one can reach it, which may be some time after it has presented itself.
     pub fn next_change(
@@ -68,6 +86,10 @@
         members: &Members,
         reachable: impl Fn(&str) -> bool,
     ) -> Option<MemberChange> {
+        let outdated = members.list.iter().find(|member| self.outdated.contains(&member.id));
+        if let Some(outdated) = outdated {
+            return Some(MemberChange::RemoveOutdated(outdated.clone()));
+        }
         for present in self.present.values() {
             let new = &present.member;
             if members.get(new.id).is_some() {
@@ -102,6 +124,8 @@
 pub enum MemberChange {
     /// Remove the member with the lost disk.
     Remove(Member),
+    /// Remove the member whose disk was restored to an older state.
+    RemoveOutdated(Member),
     /// Add the member.
     Add(Member),
 }
--- a/crates/pond-replica/src/membership.rs
+++ b/crates/pond-replica/src/membership.rs
@@ -22,6 +22,10 @@
                 event!(self.log, REPLACED, "replica" => old.address.clone());
                 self.core.step(now, Input::Remove(old.id));
             }
+            Some(MemberChange::RemoveOutdated(outdated)) => {
+                self.formation.outdated_removed(outdated.id);
+                self.core.step(now, Input::Remove(outdated.id));
+            }
             Some(MemberChange::Add(new)) => {
                 event!(self.log, MEMBER_ADDED, "replica" => new.address.clone());
                 self.core.step(now, Input::Add(new));
--- a/crates/pond-replica/src/outputs.rs
+++ b/crates/pond-replica/src/outputs.rs
@@ -248,6 +248,9 @@
     fn role_changed(&mut self) {
         self.metrics.gauge("term", self.core.term());
         self.metrics.gauge("leads", u64::from(self.core.role() == Role::Leader));
+        if self.core.role() != Role::Leader {
+            self.formation.leadership_lost();
+        }
         if self.core.role() == Role::Leader || self.leader.is_none() {
             return;
         }
--- a/crates/pond-replica/src/peers.rs
+++ b/crates/pond-replica/src/peers.rs
@@ -208,7 +208,7 @@
         if present.last_index < acknowledged {
             event!(self.log, OLDER_DISK, "replica" => member.address.clone(),
                 "has" => present.last_index, "acknowledged" => acknowledged);
-            self.core.step(now, Input::Remove(member.id));
+            self.formation.record_outdated(member.id);
         }
         self.formation.record(present);
         self.form_quorum_if_ready();
--- a/crates/pond-replica/tests/formation.rs
+++ b/crates/pond-replica/tests/formation.rs
@@ -136,3 +136,32 @@
     let added = Some(MemberChange::Add(member(9, "d")));
     assert_eq!(formation.next_change(&members, |address| address == "d"), added);
 }
+
+/// Guards against a member with an outdated disk that stays because another change of members was under way when it
+/// presented itself, which it does once per link.
+#[test]
+fn member_with_an_outdated_disk_is_removed_once_a_change_is_possible() {
+    let mut formation = seed(false, true);
+    let members = Members::new(vec![member(1, "a"), member(2, "b"), member(3, "c")]);
+    formation.record(present(2, "b", true));
+    formation.record_outdated(2);
+    for _ in 0..2 {
+        let change = formation.next_change(&members, |_| true);
+        assert_eq!(change, Some(MemberChange::RemoveOutdated(member(2, "b"))));
+    }
+    formation.outdated_removed(2);
+    let left = Members::new(vec![member(1, "a"), member(3, "c")]);
+    let added = Some(MemberChange::Add(member(2, "b")));
+    assert_eq!(formation.next_change(&left, |_| true), added, "its log is replaced by then");
+    assert_eq!(formation.next_change(&members, |_| true), None);
+}
+
+/// Guards against a removal for what a replica had acknowledged to the leader of an earlier term.
+#[test]
+fn outdated_disks_are_forgotten_with_the_lead() {
+    let mut formation = seed(false, true);
+    let members = Members::new(vec![member(1, "a"), member(2, "b")]);
+    formation.record_outdated(2);
+    formation.leadership_lost();
+    assert_eq!(formation.next_change(&members, |_| true), None);
+}
