Replica: addresses of replicas that are gone expire

What operators would have seen: every replica dials each address that it ever learned, for good: once a second for each replaced replica, also after the address belongs to another machine.

The key of a link was the number of entries, so that removing one would have given a key twice.

Change: the addresses move into a module without I/O. One that has been unreachable for two hours, is neither a member nor a seed of the settings, and has no link to this replica either, is no longer dialled (event 206); the identities at it are dropped as well. Keys of links count up. Seeds of changed settings replace those before. A replica that returns dials this one, which dials it again. Two hours, as regions lose each other for an hour now and then, and a replica that comes back from a cut may know no current address.

tests/addresses.rs: the first of three tests failed before (the address was dialled after three hours without a link) and passes now; seeds and linked replicas are dialled however long they are unreachable.

--- a/crates/pond-log/src/events.rs
+++ b/crates/pond-log/src/events.rs
@@ -82,6 +82,8 @@
     LEADER_LOST = 204, Warning, "connection to the leading control replica lost",
         "nothing if it is re-established; otherwise check the control replicas";
     READY = 205, Info, "readiness changed", "see the preceding log line for the cause";
+    ADDRESS_EXPIRED = 206, Info, "replica that was unreachable for long is no longer dialled",
+        "nothing: it is dialled again when it presents itself";
     LEADER = 300, Info, "this replica became leader", "nothing";
     FOLLOWER = 301, Info, "this replica became follower", "nothing";
     QUORUM_FORMED = 302, Info, "quorum formed for the first time", "nothing";
--- a/crates/pond-replica/src/handle.rs
+++ b/crates/pond-replica/src/handle.rs
@@ -42,7 +42,7 @@
 pub enum Request {
     /// A request of an operator.
     Operator(Command),
-    /// Addresses of further replicas.
+    /// The seeds of changed settings.
     AddAddresses(Vec<String>),
     /// The adviser's answer to a question of the leader; `None` if there was no valid answer.
     Advised(Question, Option<Vec<Permit>>),
@@ -107,8 +107,8 @@
         answer.await.unwrap_or(Err(RequestError::NotLeader(None)))
     }
 
-    /// Adds addresses of replicas, for example from changed settings. Returns whether the replica still
-    /// runs.
+    /// Adds addresses of replicas from changed settings, in place of those from the previous settings, which then
+    /// expire when they are unreachable for long. Returns whether the replica still runs.
     pub async fn add_addresses(&self, addresses: Vec<String>) -> bool {
         self.requests.send(Request::AddAddresses(addresses)).await.is_ok()
     }
--- a/crates/pond-replica/src/lib.rs
+++ b/crates/pond-replica/src/lib.rs
@@ -4,6 +4,7 @@
 //! syncs. A replica whose disk hangs therefore sends no heartbeats and loses leadership. Links and
 //! operators feed the task through bounded queues.
 
+mod addresses;
 mod admission;
 mod adviser;
 mod audit;
--- a/crates/pond-replica/src/peers.rs
+++ b/crates/pond-replica/src/peers.rs
@@ -16,7 +16,9 @@
 use pond_uplink::{HEARTBEAT_INTERVAL, SILENCE_TIMEOUT};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
 
+use crate::addresses::Addresses;
 use crate::replica::{Client, Replica, Settings};
 
 /// Maximum size of a frame between processes, in bytes; fits a configuration with thousands of queues.
@@ -28,18 +30,19 @@
 
 /// Another replica.
 struct Peer {
-    link: LinkKey,
+    /// Dials it.
+    task: JoinHandle<()>,
+    /// The sending end of the link while it is up.
     sender: Option<Sender>,
-    /// Since when there is no link; `None` while the link is up.
-    down_since: Option<Millis>,
 }
 
 /// The other replicas.
 pub(crate) struct Peers {
     own_address: String,
-    dialled: BTreeMap<String, Peer>,
+    addresses: Addresses,
+    dialled: BTreeMap<LinkKey, Peer>,
     /// Addresses by disk identity.
-    addresses: BTreeMap<u64, String>,
+    identities: BTreeMap<u64, String>,
     config: Arc<Config>,
     events: mpsc::Sender<Event>,
     log: Logger,
@@ -61,49 +64,69 @@
                 .with_heartbeat(HEARTBEAT_INTERVAL, SILENCE_TIMEOUT);
         let config = Arc::new(config);
         tokio::spawn(pond_link::accept(listener, config.clone(), events.clone()));
-        let (dialled, addresses) = (BTreeMap::new(), BTreeMap::new());
-        let mut peers = Peers { own_address: own, dialled, addresses, config, events, log };
-        peers.add_addresses(Millis(0), &settings.seeds);
+        let mut peers = Peers {
+            own_address: own,
+            addresses: Addresses::default(),
+            dialled: BTreeMap::new(),
+            identities: BTreeMap::new(),
+            config,
+            events,
+            log,
+        };
+        peers.replace_seeds(Millis(0), &settings.seeds);
         peers
     }
 
+    /// Replaces the addresses in the settings, and dials the new ones.
+    pub fn replace_seeds(&mut self, now: Millis, seeds: &[String]) {
+        self.addresses.replace_seeds(seeds);
+        self.add_addresses(now, seeds);
+    }
+
     /// Dials the replicas at those addresses that are not known yet. They count as unreachable from now on,
     /// until a link is up.
     pub fn add_addresses(&mut self, now: Millis, addresses: &[String]) {
         for address in addresses {
-            if *address == self.own_address || self.dialled.contains_key(address) {
+            if *address == self.own_address || self.addresses.link(address).is_some() {
                 continue;
             }
             let Ok(parsed) = address.parse() else {
                 event!(self.log, LINK_REFUSED, "why" => format!("{address} is not a valid address"));
                 continue;
             };
-            let link = LinkKey(self.dialled.len() as u64);
+            let link = self.addresses.add(now, address);
             let (config, events) = (self.config.clone(), self.events.clone());
-            tokio::spawn(pond_link::dial(parsed, link, config, events));
-            let peer = Peer { link, sender: None, down_since: Some(now) };
-            self.dialled.insert(address.clone(), peer);
+            let task = tokio::spawn(pond_link::dial(parsed, link, config, events));
+            self.dialled.insert(link, Peer { task, sender: None });
+        }
+    }
+
+    /// Stops dialling the addresses that have expired. Those for which `is_used` returns true do not expire.
+    fn drop_expired(&mut self, now: Millis, is_used: impl Fn(&str) -> bool) {
+        for (address, link) in self.addresses.expire(now, is_used) {
+            if let Some(peer) = self.dialled.remove(&link) {
+                peer.task.abort();
+            }
+            self.identities.retain(|_, known| *known != address);
+            event!(self.log, ADDRESS_EXPIRED, "peer" => address);
         }
     }
 
     /// Returns the addresses of all known replicas, this one included.
     pub fn known_addresses(&self) -> Vec<String> {
-        let others = self.dialled.keys().cloned();
+        let others = self.addresses.all().cloned();
         std::iter::once(self.own_address.clone()).chain(others).collect()
     }
 
     /// Returns since when the link to a replica is down; `None` if it is up.
     pub fn down_since(&self, address: &str) -> Option<Millis> {
-        self.dialled.get(address).and_then(|peer| peer.down_since)
-    }
-
-    fn by_link(&mut self, link: LinkKey) -> Option<(&String, &mut Peer)> {
-        self.dialled.iter_mut().find(|(_, peer)| peer.link == link)
+        self.addresses.down_since(address)
     }
 
     /// Sends a message of the quorum to the replica that it names.
     pub fn send(&self, message: Envelope) {
-        let peer = self.addresses.get(&message.to).and_then(|address| self.dialled.get(address));
+        let link = self.identities.get(&message.to).and_then(|to| self.addresses.link(to));
+        let peer = link.and_then(|link| self.dialled.get(&link));
         if let Some(sender) = peer.and_then(|peer| peer.sender.as_ref()) {
             // The quorum repeats lost messages.
             sender.send(Body::Quorum(message));
@@ -123,23 +146,24 @@
         let link = event.link;
         match event.kind {
             EventKind::Up { hello, sender, .. } if link.is_accepted() => {
-                if hello.role() == WireRole::Control && !hello.address.is_empty() {
-                    self.peers.add_addresses(now, &[hello.address]);
-                }
+                let is_replica = hello.role() == WireRole::Control && !hello.address.is_empty();
+                let address = is_replica.then(|| hello.address.clone());
+                self.peers.add_addresses(now, address.as_slice());
                 if let Some(lead) = &self.announced {
                     sender.send(Body::LeaderInfo(lead.clone()));
                 }
                 let (name, incarnation) = (hello.name, Incarnation(hello.incarnation));
-                self.clients.insert(link, Client { name, incarnation, sender, presented: None });
+                let client = Client { name, address, incarnation, sender, presented: None };
+                self.clients.insert(link, client);
             }
             EventKind::Up { sender, .. } => {
                 let message = self.own_presence();
                 sender.send(Body::Quorum(message));
-                if let Some((address, peer)) = self.peers.by_link(link) {
-                    let address = address.clone();
+                if let Some(peer) = self.peers.dialled.get_mut(&link) {
                     peer.sender = Some(sender);
-                    peer.down_since = None;
-                    event!(self.log, LINK_UP, "peer" => address);
+                }
+                if let Some(address) = self.peers.addresses.record_link(link, None) {
+                    event!(self.log, LINK_UP, "peer" => address.to_owned());
                 }
             }
             EventKind::Down(error) => self.link_down(now, link, &error),
@@ -162,11 +186,12 @@
             }
             return;
         }
-        let log = self.log.clone();
-        let Some((address, peer)) = self.peers.by_link(link) else { return };
-        if peer.sender.take().is_some() {
-            peer.down_since = Some(now);
-            event!(log, LINK_DOWN, "peer" => address.clone(), "why" => error.to_string());
+        let peer = self.peers.dialled.get_mut(&link);
+        if peer.and_then(|peer| peer.sender.take()).is_none() {
+            return;
+        }
+        if let Some(address) = self.peers.addresses.record_link(link, Some(now)) {
+            event!(self.log, LINK_DOWN, "peer" => address.to_owned(), "why" => error.to_string());
         }
     }
 
@@ -201,7 +226,7 @@
             client.presented = Some((member.address.clone(), member.id));
         }
         self.peers.add_addresses(now, std::slice::from_ref(&member.address));
-        self.peers.addresses.insert(member.id, member.address.clone());
+        self.peers.identities.insert(member.id, member.address.clone());
         // The log is shorter than what the replica has acknowledged: its disk was restored to an
         // older state, and its votes cannot be trusted.
         let acknowledged = self.core.acknowledged(member.id).unwrap_or(0);
@@ -214,11 +239,20 @@
         self.form_quorum_if_ready();
     }
 
+    /// Stops dialling replicas that have been unreachable for long, are no members and are not linked either.
+    pub(crate) fn drop_expired_addresses(&mut self, now: Millis) {
+        let (members, clients) = (self.core.members(), &self.clients);
+        self.peers.drop_expired(now, |address| {
+            members.list.iter().any(|member| member.address == address)
+                || clients.values().any(|client| client.address.as_deref() == Some(address))
+        });
+    }
+
     /// Dials all members, and records their addresses by identity.
     pub(crate) fn connect_to_members(&mut self) {
         let now = self.now();
         for member in &self.core.members().list {
-            self.peers.addresses.insert(member.id, member.address.clone());
+            self.peers.identities.insert(member.id, member.address.clone());
             self.peers.add_addresses(now, std::slice::from_ref(&member.address));
         }
     }
--- a/crates/pond-replica/src/replica.rs
+++ b/crates/pond-replica/src/replica.rs
@@ -75,6 +75,8 @@
 pub(crate) struct Client {
     /// The name that it gave.
     pub name: String,
+    /// The address at which it accepts links, if it is a replica.
+    pub address: Option<String>,
     /// The incarnation of the process.
     pub incarnation: Incarnation,
     /// The sending end of the link.
@@ -210,6 +212,7 @@
             self.process_outputs()?;
             self.lead(now);
             self.process_outputs()?;
+            self.drop_expired_addresses(now);
             self.record_redundancy();
             self.announce_leader(now);
             self.answer_deferred(now);
@@ -239,7 +242,7 @@
         let now = self.now();
         match request {
             Request::Operator(command) => self.operator_request(now, command),
-            Request::AddAddresses(addresses) => self.peers.add_addresses(now, &addresses),
+            Request::AddAddresses(addresses) => self.peers.replace_seeds(now, &addresses),
             Request::Advised(question, permits) => {
                 if let Some(leader) = &mut self.leader {
                     leader.advised(now, &question, permits);
--- a/crates/pond-replica/tests/support/mod.rs
+++ b/crates/pond-replica/tests/support/mod.rs
@@ -29,7 +29,8 @@
 /// Number of replicas in a quorum.
 pub const REPLICAS: usize = 3;
 
-struct NoAdviser;
+/// Gives no permits.
+pub struct NoAdviser;
 
 impl Adviser for NoAdviser {
     fn advise(
