Uplink: listed replicas are dialled before those that are gone, also after all of them failed

What callers saw: after control was down, entries and agents find the leader the later, the more replicas have been replaced before.

Cause: once every dial had failed, all known addresses were dialled in turn, those of replaced replicas as often as the others, and addresses that were never dialled before those of replicas that had failed once.

Change: once all listed replicas have failed, seven of eight dials go to them, and one to an address that is not listed. Addresses from the settings count as listed until a replica sends a list, so those of changed settings are still dialled next.

--- a/crates/pond-uplink/src/search.rs
+++ b/crates/pond-uplink/src/search.rs
@@ -37,6 +37,10 @@
 /// milliseconds. This is about the time of an election.
 const LEADERLESS_MS: Span = 600;
 
+/// Once all listed replicas have failed, one dial in this many goes to an address that is not listed. Most
+/// of those belong to replicas that were replaced, and their number grows with each replacement.
+const UNLISTED_SHARE: u32 = 8;
+
 /// Each process dials a new leader after a random delay up to this, in milliseconds. Simultaneous
 /// dials would overflow the leader's accept queue: of 291 dials within 10 ms, while the leader
 /// wrote a snapshot, 125 timed out after 0.8 s.
@@ -69,16 +73,23 @@
     dialled: Option<Millis>,
     /// Whether the last dial failed.
     failed: bool,
-    /// Whether the latest message about the leader listed this replica.
+    /// Whether the settings or the latest message about the leader list this replica.
     listed: bool,
 }
 
 impl Replica {
-    /// Returns the rank of the replica in the order of dialling: listed replicas first, then other
-    /// addresses, then those whose last dial failed. Among equals, the one dialled least recently
-    /// comes first.
-    fn rank(&self) -> (bool, bool, Option<Millis>) {
-        (self.failed, !self.failed && !self.listed, self.dialled)
+    /// Returns the rank of the replica in the order of dialling. Listed replicas whose last dial did not
+    /// fail come first; `listed_first` tells whether the other listed ones come before or after the
+    /// addresses that are not listed. Among equals, the one dialled least recently comes first.
+    fn rank(&self, listed_first: bool) -> (u8, Option<Millis>) {
+        let class = match (self.listed, self.failed) {
+            (true, false) => 0,
+            (true, true) if listed_first => 1,
+            (false, false) => 2,
+            (false, true) => 3,
+            (true, true) => 4,
+        };
+        (class, self.dialled)
     }
 }
 
@@ -150,20 +161,24 @@
         self.links.get(&link).map_or("", |found| &self.replicas[found.replica].address)
     }
 
-    /// Adds addresses of replicas.
+    /// Adds addresses of replicas from the settings.
     pub fn add_addresses(&mut self, addresses: &[String]) {
+        self.add(addresses, true);
+    }
+
+    /// Adds the addresses that are not known yet.
+    fn add(&mut self, addresses: &[String], listed: bool) {
         for address in addresses {
             if !self.replicas.iter().any(|known| known.address == *address) {
                 let address = address.clone();
-                let new = Replica { address, dialled: None, failed: false, listed: false };
-                self.replicas.push(new);
+                self.replicas.push(Replica { address, dialled: None, failed: false, listed });
             }
         }
     }
 
     /// Records which replicas exist according to another replica.
     fn update_listed(&mut self, addresses: &[String]) {
-        self.add_addresses(addresses);
+        self.add(addresses, true);
         for replica in &mut self.replicas {
             replica.listed = addresses.contains(&replica.address);
         }
@@ -217,7 +232,7 @@
         if lead.term < self.term || lead.leader.is_empty() {
             return;
         }
-        self.add_addresses(std::slice::from_ref(&lead.leader));
+        self.add(std::slice::from_ref(&lead.leader), false);
         let found = self.replicas.iter().position(|known| known.address == lead.leader);
         let Some(replica) = found else { return };
         if self.named.is_none_or(|named| named.replica != replica) {
@@ -279,11 +294,12 @@
     fn dial_next(&mut self, now: Millis) -> bool {
         let is_linked = |index: &usize| self.links.values().any(|found| found.replica == *index);
         let free: Vec<usize> = (0..self.replicas.len()).filter(|index| !is_linked(index)).collect();
-        let Some(first) = free.iter().map(|index| self.replicas[*index].rank()).min() else {
+        let listed_first = !self.rng.random_ratio(1, UNLISTED_SHARE);
+        let rank = |index: &usize| self.replicas[*index].rank(listed_first);
+        let Some(first) = free.iter().map(rank).min() else {
             return false;
         };
-        let candidates: Vec<usize> =
-            free.into_iter().filter(|index| self.replicas[*index].rank() == first).collect();
+        let candidates: Vec<usize> = free.iter().copied().filter(|i| rank(i) == first).collect();
         if !self.make_room(now) {
             return false;
         }
--- a/crates/pond-uplink/tests/search.rs
+++ b/crates/pond-uplink/tests/search.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 
+use pond_link::LinkKey;
 use pond_proto::fleet::LeaderInfo;
 use pond_proto::{Millis, Span};
 use pond_uplink::{Output, Search};
@@ -77,6 +78,18 @@
     }
 }
 
+/// Guards against a search that is the slower, the more replicas have been replaced.
+#[test]
+fn processes_find_a_new_leader_after_a_restart_among_addresses_of_machines_that_are_gone() {
+    for replicas in [3, 5, 9] {
+        for gone in [3, 6, 12, 24] {
+            for down_ms in [300, 2_000, 10_000] {
+                check(Scenario { replicas, down_ms, gone, ..Scenario::default() });
+            }
+        }
+    }
+}
+
 #[test]
 fn processes_that_know_one_replica_find_the_leader_through_it() {
     for replicas in [3, 9, 25] {
@@ -152,3 +165,42 @@
         assert!(!outputs.contains(&Output::Close(dial)), "seed {seed}: {outputs:?}");
     }
 }
+
+/// Returns the addresses that the search dials next.
+fn dialled(search: &mut Search) -> Vec<(LinkKey, String)> {
+    let dialled = search.outputs().into_iter().filter_map(|output| match output {
+        Output::Dial { link, address } => Some((link, address)),
+        Output::Close(_) => None,
+    });
+    dialled.collect()
+}
+
+/// Guards against a search for addresses from changed settings only after those that have failed.
+#[test]
+fn addresses_from_changed_settings_are_dialled_next_although_no_replica_lists_them() {
+    for seed in 0..50 {
+        let mut search = Search::new(vec!["a".to_owned()], seed, Millis(0));
+        let (link, _) = dialled(&mut search).remove(0);
+        search.link_up(Millis(1), link);
+        let replicas = ["a", "b"].map(str::to_owned).to_vec();
+        search.handle_lead(
+            Millis(2),
+            link,
+            &LeaderInfo { term: 1, replicas, ..LeaderInfo::default() },
+        );
+        search.link_down(Millis(3), link);
+        let mut now = Millis(3);
+        while now < Millis(10_000) {
+            now = search.due().expect("the search goes on");
+            search.tick(now);
+            for (link, _) in dialled(&mut search) {
+                search.link_down(now, link);
+            }
+        }
+        search.add_addresses(&["c".to_owned()]);
+        search.tick(search.due().expect("the search goes on"));
+        let next: Vec<String> =
+            dialled(&mut search).into_iter().map(|(_, address)| address).collect();
+        assert_eq!(next, ["c"], "seed {seed}");
+    }
+}
