--- a/crates/pond-test/src/cluster/mod.rs
+++ b/crates/pond-test/src/cluster/mod.rs
@@ -95,6 +95,8 @@
 struct Node {
     disk: Memory,
     running: Option<Running>,
+    /// Number of starts of the process.
+    starts: u64,
     /// Time at which the replica restarts after a crash.
     restart_at: u64,
     /// Whether the process is killed after its next write of entries, before the sync.
@@ -125,12 +127,15 @@
 /// Simulated cluster with the observations that the invariants are checked against.
 pub struct Cluster {
     faults: Faults,
+    tuning: Tuning,
     rng: SmallRng,
     time: u64,
     nodes: BTreeMap<u64, Node>,
     members: Members,
     in_flight: Vec<InFlight>,
     partitions: BTreeMap<(u64, u64), u64>,
+    /// Pairs of a sender and a receiver without a link.
+    disconnected: BTreeSet<(u64, u64)>,
     next_value: u64,
     next_ticket: u64,
     /// Open proposals: ticket to value.
@@ -152,17 +157,18 @@
 impl Cluster {
     /// Creates a cluster of replicas 1 to `count`, all of them members.
     pub fn new(count: u64, seed: u64, faults: Faults) -> Cluster {
-        let member =
-            |id| Member { id, name: format!("control-{id}"), address: String::new(), voter: true };
-        let members = Members::new((1..=count).map(member).collect());
+        let members = (1..=count).map(|id| Member { voter: true, ..Cluster::member(id) });
+        let members = Members::new(members.collect());
         let mut cluster = Cluster {
             faults,
+            tuning: Tuning::default(),
             rng: SmallRng::seed_from_u64(seed),
             time: 1000,
             nodes: BTreeMap::new(),
             members,
             in_flight: Vec::new(),
             partitions: BTreeMap::new(),
+            disconnected: BTreeSet::new(),
             next_value: 0,
             next_ticket: 0,
             proposals: BTreeMap::new(),
@@ -180,6 +186,20 @@
         cluster
     }
 
+    /// Uses other timeouts, of which all replicas start anew.
+    pub fn with_tuning(mut self, tuning: Tuning) -> Cluster {
+        self.tuning = tuning;
+        let ids: Vec<u64> = self.nodes.keys().copied().collect();
+        ids.into_iter().for_each(|id| self.start(id));
+        self
+    }
+
+    /// Returns a replica as a learner, at an address of its own that is also its name.
+    pub fn member(id: u64) -> Member {
+        let name = format!("control-{id}");
+        Member { id, address: name.clone(), name, voter: false }
+    }
+
     fn add_node(&mut self, id: u64) {
         let disk = Memory::new();
         if self.faults.lying_disks {
@@ -190,6 +210,7 @@
         let node = Node {
             disk,
             running: None,
+            starts: 0,
             restart_at: 0,
             kill_before_sync: false,
             full_until: 0,
@@ -229,10 +250,11 @@
             members: if member { self.members.clone() } else { Members::default() },
             seed: id * 7919 + self.time,
         };
-        let core = Core::new(start, Tuning::default(), now);
+        let core = Core::new(start, self.tuning, now);
         let writer = Writer::new(store.with_segment_bytes(2000));
         if let Some(node) = self.nodes.get_mut(&id) {
             node.running = Some(Running { core, writer, applied, values });
+            node.starts += 1;
         }
     }
 
@@ -267,7 +289,12 @@
     /// power of all others at the same time. Only synced data survives, and possibly the beginning
     /// of unsynced data. All replicas restart within a second, in any order.
     pub fn lose_power(&mut self, lost: u64, new: u64) {
-        self.lose_disk(lost, new);
+        self.lose_power_and_disks(&[(lost, new)]);
+    }
+
+    /// Like [`Cluster::lose_power`], with any number of destroyed disks, each with the replica that returns.
+    pub fn lose_power_and_disks(&mut self, lost: &[(u64, u64)]) {
+        lost.iter().for_each(|(lost, new)| self.lose_disk(*lost, *new));
         self.in_flight.clear();
         let ids: Vec<u64> = self.nodes.keys().copied().collect();
         for id in ids {
@@ -310,6 +337,11 @@
         self.add_node(new);
     }
 
+    /// Removes a replica with its disk for good.
+    pub fn remove_node(&mut self, id: u64) {
+        self.nodes.remove(&id);
+    }
+
     /// Returns a copy of the current disk of a replica.
     pub fn copy_disk(&self, id: u64) -> Option<Memory> {
         self.nodes.get(&id).map(|node| node.disk.copy())
@@ -355,6 +387,20 @@
         others.into_iter().for_each(|other| self.partition(id, other, wait));
     }
 
+    /// Whether two replicas are partitioned from each other.
+    pub fn partitioned(&self, a: u64, b: u64) -> bool {
+        self.partitions.get(&(a.min(b), a.max(b))).is_some_and(|until| self.time < *until)
+    }
+
+    /// Sets whether there is a link on which a replica sends messages to another. Without one they are lost.
+    pub fn set_link(&mut self, from: u64, to: u64, up: bool) {
+        if up {
+            self.disconnected.remove(&(from, to));
+        } else {
+            self.disconnected.insert((from, to));
+        }
+    }
+
     /// Returns the ready leader with the highest term.
     pub fn leader(&self) -> Option<u64> {
         let running = self.nodes.iter().filter_map(|(id, node)| Some((id, node.running.as_ref()?)));
@@ -367,6 +413,17 @@
         self.nodes.get(&id)?.running.as_ref().map(|running| &running.core)
     }
 
+    /// Returns how often the process of a replica has started; `None` while it is not running.
+    pub fn starts(&self, id: u64) -> Option<u64> {
+        let node = self.nodes.get(&id)?;
+        node.running.as_ref().map(|_| node.starts)
+    }
+
+    /// Whether a replica runs and its machine is not suspended.
+    pub fn is_active(&self, id: u64) -> bool {
+        self.running(id).is_some() && self.suspended_until(id).is_none()
+    }
+
     /// Passes an input to a replica, unless it is suspended or not running.
     pub fn input(&mut self, id: u64, input: Input) {
         let now = self.now(id);
@@ -396,6 +453,12 @@
         self.input(id, Input::Read { ticket: self.next_ticket });
     }
 
+    /// Returns the accepted values that are not applied at a replica.
+    pub fn missing_values(&self, id: u64) -> Vec<u64> {
+        let applied: BTreeSet<u64> = self.values(id).into_iter().collect();
+        self.accepted.keys().copied().filter(|value| !applied.contains(value)).collect()
+    }
+
     /// Returns the number of accepted values.
     pub fn accepted(&self) -> usize {
         self.accepted.len()
@@ -407,7 +470,13 @@
         running.map(|running| running.values.clone()).unwrap_or_default()
     }
 
-    fn now(&self, id: u64) -> Millis {
+    /// Returns the true time, in milliseconds.
+    pub fn time(&self) -> u64 {
+        self.time
+    }
+
+    /// Returns the time on the clock of a replica.
+    pub fn now(&self, id: u64) -> Millis {
         let (rate, suspended_ms) =
             self.nodes.get(&id).map_or((1000, 0), |node| (node.rate, node.suspended_ms));
         Millis((self.time - suspended_ms) * rate / 1000)
@@ -502,8 +571,8 @@
         self.in_flight = later;
         let due: Vec<InFlight> = due;
         for InFlight { message, .. } in due {
-            let pair = (message.from.min(message.to), message.from.max(message.to));
-            if self.partitions.get(&pair).is_some_and(|until| time < *until) {
+            let (from, to) = (message.from, message.to);
+            if self.partitioned(from, to) || self.disconnected.contains(&(from, to)) {
                 continue;
             }
             if let Some(due) = self.suspended_until(message.to) {
@@ -581,6 +650,7 @@
     pub fn heal_and_check(&mut self) {
         self.faults = Faults { snapshot_every: self.faults.snapshot_every, ..Faults::none() };
         self.partitions.clear();
+        self.disconnected.clear();
         for node in self.nodes.values_mut() {
             node.restart_at = node.restart_at.min(self.time);
             node.full_until = node.full_until.min(self.time);
