Uplink: the list of a replica of an earlier term does not replace a newer one

What callers would have seen: an entry or agent that reaches a replica which is cut off dials replaced replicas before their successors.

Cause: the latest message about the leader decided which replicas are listed, whatever its term.

Change: addresses of any list are learned, but only a list of the highest term that was seen decides which replicas exist.

search.rs: the new test failed before (the addresses that only the outdated list has were dialled first, seed 0) and passes now with 50 seeds.

--- a/crates/pond-uplink/src/search.rs
+++ b/crates/pond-uplink/src/search.rs
@@ -73,7 +73,7 @@
     dialled: Option<Millis>,
     /// Whether the last dial failed.
     failed: bool,
-    /// Whether the settings or the latest message about the leader list this replica.
+    /// Whether the settings or the latest message of the highest term list this replica.
     listed: bool,
 }
 
@@ -176,11 +176,15 @@
         }
     }
 
-    /// Records which replicas exist according to another replica.
-    fn update_listed(&mut self, addresses: &[String]) {
-        self.add(addresses, true);
-        for replica in &mut self.replicas {
-            replica.listed = addresses.contains(&replica.address);
+    /// Records which replicas exist according to another replica. Those that are cut off list replicas of an
+    /// earlier term, which may have been replaced since.
+    fn update_listed(&mut self, lead: &LeaderInfo) {
+        let newest = lead.term >= self.term;
+        self.add(&lead.replicas, newest);
+        if newest {
+            for replica in &mut self.replicas {
+                replica.listed = lead.replicas.contains(&replica.address);
+            }
         }
     }
 
@@ -209,7 +213,7 @@
     pub fn handle_lead(&mut self, now: Millis, link: LinkKey, lead: &LeaderInfo) {
         let Some(found) = self.links.get_mut(&link) else { return };
         found.term = lead.term;
-        self.update_listed(&lead.replicas);
+        self.update_listed(lead);
         self.update_named(now, lead);
         if lead.is_leader {
             self.follow(link);
--- a/crates/pond-uplink/tests/search.rs
+++ b/crates/pond-uplink/tests/search.rs
@@ -204,3 +204,31 @@
         assert_eq!(next, ["c"], "seed {seed}");
     }
 }
+
+/// Guards against a replica that is cut off and names predecessors, which are then dialled before their successors.
+#[test]
+fn replicas_that_an_outdated_list_names_are_dialled_after_those_of_the_newest_one() {
+    let lists = |term, replicas: [&str; 3]| LeaderInfo {
+        term,
+        replicas: replicas.map(str::to_owned).to_vec(),
+        ..LeaderInfo::default()
+    };
+    for seed in 0..50 {
+        let mut search = Search::new(vec!["a".to_owned(), "b".to_owned()], seed, Millis(0));
+        for (link, address) in dialled(&mut search) {
+            search.link_up(Millis(1), link);
+            let lead = match address.as_str() {
+                "a" => lists(2, ["a", "new-1", "new-2"]),
+                _ => lists(1, ["b", "gone-1", "gone-2"]),
+            };
+            search.handle_lead(Millis(2), link, &lead);
+        }
+        let mut next = Vec::new();
+        for _ in 0..2 {
+            search.tick(search.due().expect("the search goes on"));
+            next.extend(dialled(&mut search).into_iter().map(|(_, address)| address));
+        }
+        next.sort();
+        assert_eq!(next, ["new-1", "new-2"], "seed {seed}");
+    }
+}
