Control: a replica whose link is lost replaces no member

What operators would have seen: a control replica that runs is removed from the quorum in favour of its predecessor, whose disk is gone.

Cause: a leader kept the messages in which replicas presented themselves after their links were lost.

Change: the message is dropped with the last link to the replica, which presents itself again on the next one.

--- a/crates/pond-control/src/formation.rs
+++ b/crates/pond-control/src/formation.rs
@@ -35,6 +35,12 @@
         self.announces.insert(announce.member.name.clone(), announce);
     }
 
+    /// Handles the loss of the last link to a replica. Its message may be out of date, so it replaces no
+    /// member until it presents itself again.
+    pub fn link_lost(&mut self, name: &str) {
+        self.announces.remove(name);
+    }
+
     /// Returns the initial members once all replicas in the settings are present and none has a
     /// log.
     ///
--- a/crates/pond-control/src/lib.rs
+++ b/crates/pond-control/src/lib.rs
@@ -15,6 +15,7 @@
 mod replica;
 mod tickets;
 
+pub use formation::{Formation, Replacement};
 pub use operator::openapi;
 pub use process::Process;
 pub use reconcile::{Answer, Call, CallResult, Reconciler, Step, Times};
--- a/crates/pond-control/src/replica/links.rs
+++ b/crates/pond-control/src/replica/links.rs
@@ -43,7 +43,11 @@
         let known = self.links.remove(&link);
         self.peers.retain(|_, (other, _)| *other != link);
         match known {
-            Some((_, name)) => {
+            Some((role, name)) => {
+                let linked = self.links.values().any(|other| *other == (role, name.clone()));
+                if role == WireRole::Control && !linked {
+                    self.formation.link_lost(&name);
+                }
                 event!(self.parts.log, LINK_DOWN, "peer" => name, "why" => error.to_string());
             }
             None if link.is_accepted() => {
