Control: a replica that has a log and is no member is added

What operators would have seen: a control replica that runs never votes again, until its disk is emptied once more.

Cause: only replicas that presented themselves as new were added. A new replica has a log as soon as it has the entry that adds it.

Change: any replica that presents itself and is no member is added, as pond-replica does.

tests/formation.rs: the new test failed before (no change) and passes now. Not played with real processes.

--- a/crates/pond-control/src/formation.rs
+++ b/crates/pond-control/src/formation.rs
@@ -58,11 +58,12 @@
         Some(Members::new(list))
     }
 
-    /// Returns the next step to replace a replica that has returned with another disk.
+    /// Returns the next step to replace a replica that has returned with another disk, or to add one that
+    /// is no member. It may have a log, of entries that were never committed.
     ///
     /// Members change one at a time: the old member is removed first, then the new one is added.
     pub fn replacement(&self, members: &Members) -> Option<Replacement> {
-        for announce in self.announces.values().filter(|announce| !announce.formed) {
+        for announce in self.announces.values() {
             let new = &announce.member;
             if members.get(new.id).is_some() {
                 continue;
--- a/crates/pond-control/tests/formation.rs
+++ b/crates/pond-control/tests/formation.rs
@@ -31,6 +31,15 @@
     assert_eq!(step, Some(Replacement::Add(member(9, "b"))));
 }
 
+/// Guards against a replica that never votes again because the change that added it was not committed.
+#[test]
+fn replica_that_has_a_log_and_is_no_member_is_added() {
+    let mut formation = formation();
+    formation.record_announce(announce(9, "b", true));
+    let step = formation.replacement(&members(&[(1, "a"), (3, "c")]));
+    assert_eq!(step, Some(Replacement::Add(member(9, "b"))));
+}
+
 /// Guards against the removal of a voter in favour of its predecessor, whose disk is gone.
 #[test]
 fn replica_whose_link_is_lost_replaces_no_member() {
