Control: a replacement is logged once

Event 310 was logged every 20 ms until the removal of the lost member was committed, up to the 0.6 s after which a leader without a majority steps down. The change itself was proposed once, because the quorum refuses another one meanwhile. Found by reading.

No change is looked for while the last one is not committed, as in pond-replica. No test: the log of the deciding thread is not read by any.

--- a/crates/pond-control/src/replica/leading.rs
+++ b/crates/pond-control/src/replica/leading.rs
@@ -100,6 +100,9 @@
     }
 
     pub(super) fn replace_lost_disks(&mut self, now: Millis) {
+        if !self.core.may_change_members() {
+            return;
+        }
         match self.formation.replacement(self.core.members()) {
             None => {}
             Some(Replacement::Remove(old)) => {
