Replica: the random histories follow the rule of successors

The simulation of replaced replicas holds promotions, tells Removal whether a learner is ready, and keeps outdated disks as the replica does.

--- a/crates/pond-replica/tests/replacements/network.rs
+++ b/crates/pond-replica/tests/replacements/network.rs
@@ -5,7 +5,7 @@
 
 use pond_proto::quorum::Member;
 use pond_proto::{Millis, Span};
-use pond_quorum::Input;
+use pond_quorum::{Input, Role};
 use pond_replica::{Formation, MemberChange, Removal};
 use pond_test::Cluster;
 use rand::Rng;
@@ -175,11 +175,11 @@
         let present = view.formation.present(last_index);
         let acknowledged =
             cluster.core(acceptor.replica).and_then(|core| core.acknowledged(dialler.replica));
-        if acknowledged.is_some_and(|index| index > last_index) {
-            cluster.input(acceptor.replica, Input::Remove(dialler.replica));
-        }
         let now = cluster.now(acceptor.replica);
         let Some(view) = self.views.get_mut(&acceptor.address) else { return };
+        if acknowledged.is_some_and(|index| index > last_index) {
+            view.formation.record_outdated(dialler.replica);
+        }
         view.formation.record(present);
         view.down_since.entry(dialler.address).or_insert(Some(now));
         let link = Link {
@@ -226,30 +226,46 @@
 
     /// Makes the next change of members, if the replica leads. Returns it.
     fn change_members(&mut self, cluster: &mut Cluster, host: &Host) -> Option<String> {
-        let core = cluster.core(host.replica).filter(|core| core.may_change_members())?;
-        if !cluster.is_active(host.replica) || host.stop_by.is_some() {
-            return None;
+        let view = self.views.get_mut(&host.address)?;
+        let core = cluster.core(host.replica)?;
+        if core.role() != Role::Leader {
+            view.formation.leadership_lost();
         }
+        let members = core.members().clone();
+        let successor_ready = core.caught_up_learner(cluster.now(host.replica)).is_some();
+        let may_change = core.may_change_members();
         let view = self.views.get(&host.address)?;
         let now = cluster.now(host.replica);
         let down_since = |address: &str| view.down_since.get(&number(address)).copied().flatten();
-        let change =
-            view.formation.next_change(core.members(), |address| down_since(address).is_none());
         let unreachable_ms = |member: &Member| match member.id == host.replica {
             true => None,
             false => down_since(&member.address).map(|since| now.since(since)),
         };
+        let hold = self.removal.holds_promotions(&members, unreachable_ms);
+        cluster.input(host.replica, Input::HoldPromotions(hold));
+        if !may_change || !cluster.is_active(host.replica) || host.stop_by.is_some() {
+            return None;
+        }
+        let change = view.formation.next_change(&members, |address| down_since(address).is_none());
+        let mut outdated = None;
         let input = match change {
             Some(MemberChange::Remove(old)) => Input::Remove(old.id),
+            Some(MemberChange::RemoveOutdated(member)) => {
+                outdated = Some(member.id);
+                Input::Remove(member.id)
+            }
             Some(MemberChange::Add(new)) => Input::Add(new),
-            None => Input::Remove(self.removal.next(core.members(), unreachable_ms)?.id),
+            None => Input::Remove(self.removal.next(&members, unreachable_ms, successor_ready)?.id),
         };
         let change = match &input {
             Input::Add(new) => format!("adds {}", new.id),
             Input::Remove(id) => format!("removes {id}"),
             _ => String::new(),
         };
-        let voters: Vec<u64> = core.members().voters().collect();
+        let voters: Vec<u64> = members.voters().collect();
+        if let (Some(id), Some(view)) = (outdated, self.views.get_mut(&host.address)) {
+            view.formation.outdated_removed(id);
+        }
         cluster.input(host.replica, input);
         Some(format!("leader {} of voters {voters:?} {change}", host.replica))
     }
