Replica: form the quorum also after a kill of all replicas at the first start

They return, no longer told that it is the first start, and nobody leads for good.

Cause: the initial members were in memory only until the first entry of a leader was in the log, and which replicas form the quorum was known only from the settings of the first start. A replica that had voted in between formed no quorum either, to keep its vote.

Change: the addresses of the initial replicas are stored in the file with the identity of the disk, which is made first. Members that are formed keep the term and the vote of the disk, and form when no output of the old core is left. A disk that was made later grants no vote until a leader has sent it a log, so that a lost disk cannot found a second quorum.

--- a/crates/pond-control/src/replica/mod.rs
+++ b/crates/pond-control/src/replica/mod.rs
@@ -107,6 +107,7 @@
             &mut parts.recovered,
             Recovered {
                 id: 0,
+                initial: Vec::new(),
                 hard: Default::default(),
                 snapshot: None,
                 entries: Vec::new(),
--- a/crates/pond-quorum/src/core.rs
+++ b/crates/pond-quorum/src/core.rs
@@ -180,6 +180,11 @@
         self.hard.term
     }
 
+    /// Returns the term, the vote and the commit index.
+    pub fn hard_state(&self) -> HardState {
+        self.hard
+    }
+
     /// Returns the leader, if this replica knows one.
     pub fn leader(&self) -> Option<&Member> {
         self.leader.and_then(|id| self.lists.current().get(id))
--- a/crates/pond-replica/src/formation.rs
+++ b/crates/pond-replica/src/formation.rs
@@ -38,6 +38,12 @@
         self.formed
     }
 
+    /// Whether this replica may vote. One that has no log and was not there at the first start may not: it may
+    /// have lost a disk that was there, and a vote of an empty disk could found a second quorum.
+    pub fn may_vote(&self) -> bool {
+        self.formed || self.initial.contains(&self.own.address)
+    }
+
     /// Records that this replica has a log that names members.
     pub fn set_formed(&mut self) {
         self.formed = true;
--- a/crates/pond-replica/src/peers.rs
+++ b/crates/pond-replica/src/peers.rs
@@ -199,6 +199,7 @@
         match body {
             Body::Quorum(message) => match message.body {
                 Some(Payload::Announce(present)) => self.handle_presence(now, link, present),
+                Some(Payload::VoteRequest(_)) if !self.formation.may_vote() => {}
                 _ if self.accepts_messages() => self.core.step(now, Input::Message(message)),
                 // The sender repeats the message.
                 _ => {}
@@ -236,7 +237,6 @@
             self.formation.record_outdated(member.id);
         }
         self.formation.record(present);
-        self.form_quorum_if_ready();
     }
 
     /// Stops dialling replicas that have been unreachable for long, are no members and are not linked either.
--- a/crates/pond-replica/src/replica.rs
+++ b/crates/pond-replica/src/replica.rs
@@ -145,7 +145,7 @@
         let state = recovered_state(&recovered, &log)?;
         let formation = formation(&settings, &recovered);
         let applied = recovered.snapshot.as_ref().map_or(0, |snapshot| snapshot.head.index);
-        let core = core(recovered, Members::default(), clock.now());
+        let core = core(recovered, clock.now());
         let (requests, request_queue) = mpsc::channel(REQUEST_QUEUE);
         let (events, links) = mpsc::channel(EVENT_QUEUE);
         let peers = Peers::start(&settings, listener, events, log.clone());
@@ -211,6 +211,7 @@
                 self.core.step(now, Input::Tick);
             }
             self.process_outputs()?;
+            self.form_quorum_if_ready();
             self.lead(now);
             self.process_outputs()?;
             self.drop_expired_addresses(now);
@@ -293,22 +294,21 @@
         now >= until || (!leads && other) || !self.formation.formed()
     }
 
-    /// Forms the quorum once all initial members have presented themselves.
-    pub(crate) fn form_quorum_if_ready(&mut self) {
+    /// Forms the quorum once all initial members have presented themselves. The core must have no outputs left:
+    /// its term and its vote are kept as they are on the disk.
+    fn form_quorum_if_ready(&mut self) {
         let Some(members) = self.formation.initial_members() else { return };
-        if self.core.term() != 0 {
-            return;
-        }
         event!(self.log, QUORUM_FORMED, "replicas" => members.list.len());
         self.formation.set_formed();
-        let recovered = Recovered {
+        let start = Start {
             id: self.core.id(),
-            hard: Default::default(),
+            hard: self.core.hard_state(),
             snapshot: None,
             entries: Vec::new(),
-            truncated_bytes: 0,
+            members,
+            seed: self.core.id(),
         };
-        self.core = core(recovered, members, self.now());
+        self.core = Core::new(start, tuning(), self.now());
         self.connect_to_members();
     }
 }
@@ -329,11 +329,12 @@
     let address = settings.internal.to_string();
     let own = Member { id: recovered.id, name: address.clone(), address, voter: true };
     let formed = recovered.snapshot.is_some() || !recovered.entries.is_empty();
-    let first = if settings.first_start { settings.seeds.clone() } else { Vec::new() };
-    Formation::new(own, first, formed)
+    let first_start = settings.first_start.then(|| settings.seeds.clone());
+    let initial = first_start.unwrap_or_else(|| recovered.initial.clone());
+    Formation::new(own, initial, formed)
 }
 
-fn core(recovered: Recovered, members: Members, now: Millis) -> Core {
+fn core(recovered: Recovered, now: Millis) -> Core {
     let image =
         |snapshot: Snapshot| SnapshotImage { head: snapshot.head, data: Arc::new(snapshot.data) };
     let start = Start {
@@ -341,10 +342,12 @@
         hard: recovered.hard,
         snapshot: recovered.snapshot.map(image),
         entries: recovered.entries,
-        members,
+        members: Members::default(),
         seed: recovered.id,
     };
-    let tuning =
-        Tuning { election_ms: ELECTION_MS, heartbeat_ms: HEARTBEAT_MS, ..Tuning::default() };
-    Core::new(start, tuning, now)
+    Core::new(start, tuning(), now)
+}
+
+fn tuning() -> Tuning {
+    Tuning { election_ms: ELECTION_MS, heartbeat_ms: HEARTBEAT_MS, ..Tuning::default() }
 }
--- a/crates/pond-replica/tests/formation.rs
+++ b/crates/pond-replica/tests/formation.rs
@@ -165,3 +165,14 @@
     formation.leadership_lost();
     assert_eq!(formation.next_change(&members, |_| true), None);
 }
+
+/// Guards against a second quorum that is founded with the vote of a disk that was lost at the first start.
+#[test]
+fn only_disks_of_the_first_start_and_those_with_a_log_vote() {
+    assert!(seed(true, false).may_vote());
+    assert!(seed(false, true).may_vote());
+    let mut empty = seed(false, false);
+    assert!(!empty.may_vote());
+    empty.set_formed();
+    assert!(empty.may_vote(), "a leader has sent it a log");
+}
--- a/crates/pond-replica/tests/replacement.rs
+++ b/crates/pond-replica/tests/replacement.rs
@@ -4,16 +4,14 @@
 mod support;
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use pond_job::Configuration;
-use pond_replica::{Handle, Settings};
-use pond_store::{Crash, Memory};
-use tokio::net::TcpListener;
-use tokio::runtime::{Builder, Runtime};
+use pond_store::Memory;
 use tokio::time::{sleep, timeout};
 
-use support::{CATCH_UP, RECOVERY_TIMEOUT, listeners_of, settings, start_with};
+use support::node::{Node, addresses, bind, find_leader, leader};
+use support::{CATCH_UP, RECOVERY_TIMEOUT, listeners_of, settings};
 
 /// Time between a replacement and the next.
 const REPLACEMENT_INTERVAL: Duration = Duration::from_secs(2);
@@ -24,49 +22,6 @@
 /// Time between an operator's attempts.
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
-/// A replica with its disk, on a runtime of its own so that it can be killed at once.
-struct Node {
-    address: SocketAddr,
-    disk: Memory,
-    handle: Handle,
-    runtime: Runtime,
-}
-
-impl Node {
-    fn start(settings: Settings, listener: std::net::TcpListener, disk: Memory) -> Node {
-        let runtime = Builder::new_multi_thread().worker_threads(1).enable_all().build();
-        let runtime = runtime.expect("a runtime");
-        let (address, guard) = (settings.internal, runtime.enter());
-        let listener = TcpListener::from_std(listener).expect("listens");
-        let (handle, _) = start_with(settings, listener, disk.clone());
-        drop(guard);
-        Node { address, disk, handle, runtime }
-    }
-
-    /// Kills the replica. Writes that are not synced are lost, as with its power.
-    fn kill(self) -> (SocketAddr, Memory) {
-        // Blocks until its tasks have ended, which the runtime of the test does not allow.
-        let runtime = self.runtime;
-        let ended = std::thread::spawn(move || runtime.shutdown_timeout(RECOVERY_TIMEOUT)).join();
-        ended.expect("its tasks end");
-        self.disk.crash(Crash::DropUnsynced);
-        (self.address, self.disk)
-    }
-}
-
-/// Opens a listener. The address may still be in use for a moment by a replica that was killed.
-fn bind(address: SocketAddr) -> std::net::TcpListener {
-    let started = Instant::now();
-    let listener = loop {
-        match std::net::TcpListener::bind(address) {
-            Err(_) if started.elapsed() < RECOVERY_TIMEOUT => std::thread::sleep(RETRY_INTERVAL),
-            bound => break bound.expect("binds"),
-        }
-    };
-    listener.set_nonblocking(true).expect("set");
-    listener
-}
-
 /// Starts `voters` replicas that form a quorum and must tolerate the loss of `losses` of them.
 async fn form(voters: usize, losses: usize) -> Vec<Node> {
     let (listeners, addresses) = listeners_of(voters).await;
@@ -77,10 +32,6 @@
     nodes.collect()
 }
 
-fn addresses(nodes: &[Node]) -> Vec<SocketAddr> {
-    nodes.iter().map(|node| node.address).collect()
-}
-
 /// Starts a replica with an empty disk at an address of its own.
 fn add(nodes: &mut Vec<Node>, losses: usize) {
     let listener = bind("127.0.0.1:0".parse().expect("an address"));
@@ -89,16 +40,6 @@
     nodes.push(Node::start(settings, listener, Memory::new()));
 }
 
-/// Waits until a replica leads. Returns its index, or `None` if none does in time.
-async fn find_leader(nodes: &[Node]) -> Option<usize> {
-    let handles: Vec<Handle> = nodes.iter().map(|node| node.handle.clone()).collect();
-    support::find_leader(&handles).await
-}
-
-async fn leader(nodes: &[Node]) -> usize {
-    find_leader(nodes).await.expect("a leader before disks are lost")
-}
-
 /// Sends a configuration to all replicas in turn until one accepts it.
 async fn configure(nodes: &[Node], version: u64, source: &str) {
     let accepted = async {
--- a/crates/pond-replica/tests/support/mod.rs
+++ b/crates/pond-replica/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Starts replicas on in-memory disks with loopback links.
 #![allow(dead_code)]
 
+pub mod node;
+
 use std::future::{Future, ready};
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -112,7 +114,8 @@
     disk: Memory,
     admitter: Option<Box<dyn Admitter>>,
 ) -> (Handle, JoinHandle<()>, Metrics) {
-    let files = Store::open(Box::new(disk)).expect("opens");
+    let initial = if settings.first_start { settings.seeds.clone() } else { Vec::new() };
+    let files = Store::open_initial(Box::new(disk), &initial).expect("opens");
     let (metrics, log) = (Metrics::in_memory(), pond_log::silent());
     let adviser = Arc::new(NoAdviser);
     let clock = Clock::new();
--- a/crates/pond-store/src/store.rs
+++ b/crates/pond-store/src/store.rs
@@ -5,6 +5,7 @@
 use pond_proto::quorum::{Batch, Entry, HardState};
 
 use crate::batch;
+use crate::identity::Identity;
 use crate::snapshot::Snapshot;
 use crate::{Disk, Error, identity, segment, snapshot};
 
@@ -16,6 +17,9 @@
 pub struct Recovered {
     /// The disk's identity.
     pub id: u64,
+    /// Addresses of the replicas that form the quorum, if the folder was made when the system started for the
+    /// first time.
+    pub initial: Vec<String>,
     /// Term, vote and commit index.
     pub hard: HardState,
     /// The newest snapshot.
@@ -63,8 +67,20 @@
     ///
     /// # Errors
     /// See [`Error`]; damaged files are left unchanged.
-    pub fn open(mut disk: Box<dyn Disk>) -> Result<(Store, Recovered), Error> {
-        let id = identity::open(disk.as_mut())?;
+    pub fn open(disk: Box<dyn Disk>) -> Result<(Store, Recovered), Error> {
+        Store::open_initial(disk, &[])
+    }
+
+    /// Like [`Store::open`]. If the folder is new, it also keeps `initial`, the addresses of the replicas that
+    /// form the quorum, so that they still do if all of them stop before any has a log.
+    ///
+    /// # Errors
+    /// See [`Error`]; damaged files are left unchanged.
+    pub fn open_initial(
+        mut disk: Box<dyn Disk>,
+        initial: &[String],
+    ) -> Result<(Store, Recovered), Error> {
+        let Identity { id, initial } = identity::open(disk.as_mut(), initial)?;
         snapshot::remove_temporary(disk.as_mut())?;
         let names = disk.list().map_err(|source| Error::io("folder", "list", source))?;
         let snapshot = newest_snapshot(disk.as_ref(), &names)?;
@@ -82,7 +98,7 @@
         let (entries, truncated_bytes) = store.replay(&names, snapshot_index)?;
         store.sync_recovered()?;
         let hard = store.hard;
-        Ok((store, Recovered { id, hard, snapshot, entries, truncated_bytes }))
+        Ok((store, Recovered { id, initial, hard, snapshot, entries, truncated_bytes }))
     }
 
     /// Sets the size of a segment, in bytes, from which on the next batch starts a new segment.
--- a/crates/pond-store/tests/recovery.rs
+++ b/crates/pond-store/tests/recovery.rs
@@ -176,6 +176,22 @@
     assert_eq!(open(&disk).1.entries.len(), 7);
 }
 
+/// Guards against initial replicas that are forgotten, taken from a later start, or expected in files of earlier versions.
+#[test]
+fn initial_replicas_are_those_of_the_first_start() {
+    let disk = Memory::new();
+    let initial = ["10.0.0.1:1".to_owned(), "10.0.0.2:1".to_owned()];
+    let open_initial = |disk: &Memory, initial: &[String]| {
+        Store::open_initial(Box::new(disk.clone()), initial).expect("opens").1.initial
+    };
+    assert_eq!(open_initial(&disk, &initial), initial);
+    disk.crash(Crash::DropUnsynced);
+    assert_eq!(open_initial(&disk, &initial[..1]), initial);
+    let mut earlier = Memory::new();
+    earlier.append("identity", b"1 0000000000000001\n").expect("writes");
+    assert_eq!(open_initial(&earlier, &initial), Vec::<String>::new());
+}
+
 #[test]
 fn identity_is_created_once_and_an_empty_disk_gets_another() {
     let disk = disk_with(1);
