Replica: a delayed message of an earlier disk does not replace the newer member

What operators would have seen: a replica that runs is removed from the quorum in favour of its predecessor at the same address, whose disk is gone, and is not added again while its link stays up.

Cause: the last message that was handled decided which disk is at an address. Its link is up, as the address is the same, so the member that never answers did not count as unreachable.

Change: a replica that has presented itself on a later link is not replaced by a message on an earlier one. Links are numbered in the order in which they are accepted. The same holds for the check of older disks, for which a delayed message of the same disk looked like one.

--- a/crates/pond-replica/src/peers.rs
+++ b/crates/pond-replica/src/peers.rs
@@ -5,6 +5,7 @@
 //! learned of the other first.
 
 use std::collections::BTreeMap;
+use std::ops::Bound;
 use std::sync::Arc;
 
 use pond_link::{Config, Event, EventKind, LinkKey, Sender};
@@ -222,6 +223,9 @@
 
     fn handle_presence(&mut self, now: Millis, link: LinkKey, present: Announce) {
         let member = &present.member;
+        if self.presented_later(link, &member.address) {
+            return;
+        }
         if let Some(client) = self.clients.get_mut(&link) {
             client.presented = Some((member.address.clone(), member.id));
         }
@@ -239,6 +243,14 @@
         self.form_quorum_if_ready();
     }
 
+    /// Whether a replica at the address presented itself on a later link. A message on an earlier one was delayed, and
+    /// comes from a previous process, whose disk may be gone since.
+    fn presented_later(&self, link: LinkKey, address: &str) -> bool {
+        let later = self.clients.range((Bound::Excluded(link), Bound::Unbounded));
+        let mut presented = later.filter_map(|(_, client)| client.presented.as_ref());
+        presented.any(|(other, _)| other == address)
+    }
+
     /// Stops dialling replicas that have been unreachable for long, are no members and are not linked either.
     pub(crate) fn drop_expired_addresses(&mut self, now: Millis) {
         let (members, clients) = (self.core.members(), &self.clients);
--- a/crates/pond-replica/tests/silence.rs
+++ b/crates/pond-replica/tests/silence.rs
@@ -27,6 +27,12 @@
 /// Disk identity of the replica that joins later.
 const JOINING_ID: u64 = 4;
 
+/// Disk identity of its predecessor at the same address.
+const PREDECESSOR_ID: u64 = 5;
+
+/// Time in which a leader makes some changes of members.
+const MEMBERS_CHANGED: Duration = Duration::from_secs(2);
+
 /// Starts replicas, each with a proxy in front of its listener. The other replicas send all their
 /// messages to it through that proxy.
 async fn start_behind_proxies() -> (Vec<BlackholeProxy>, Vec<Handle>) {
@@ -59,6 +65,7 @@
 
 /// A replica reduced to its links. It presents itself on each link that it dials.
 struct JoiningReplica {
+    id: u64,
     address: SocketAddr,
     dialled: mpsc::Receiver<Event>,
     senders: Vec<pond_link::Sender>,
@@ -75,49 +82,67 @@
         )
     }
 
-    fn start(address: SocketAddr, proxies: &[BlackholeProxy]) -> JoiningReplica {
+    fn start(id: u64, address: SocketAddr, replicas: &[SocketAddr]) -> JoiningReplica {
         let (events, dialled) = mpsc::channel(64);
-        for (i, proxy) in proxies.iter().enumerate() {
+        for (i, replica) in replicas.iter().enumerate() {
             let (config, events) = (JoiningReplica::config(address), events.clone());
-            tokio::spawn(dial(proxy.address(), LinkKey(i as u64), config, events));
+            tokio::spawn(dial(*replica, LinkKey(i as u64), config, events));
         }
-        JoiningReplica { address, dialled, senders: Vec::new() }
+        JoiningReplica { id, address, dialled, senders: Vec::new() }
     }
 
-    /// Waits until all links are up, and presents itself on each.
-    async fn present(&mut self) {
-        let mut up = 0;
-        while up < REPLICAS {
+    /// Waits until all links are up.
+    async fn link(&mut self) {
+        let mut senders = Vec::new();
+        while senders.len() < REPLICAS {
             let event = timeout(RECOVERY_TIMEOUT, self.dialled.recv()).await.expect("in time");
             let EventKind::Up { sender, .. } = event.expect("an event").kind else { continue };
+            senders.push(sender);
+        }
+        // A link is closed when its last sender is dropped, so those of the previous links are kept until now.
+        self.senders = senders;
+    }
+
+    /// Presents itself on each link.
+    fn present(&self) {
+        for sender in &self.senders {
             assert!(sender.send(Body::Quorum(self.presence())));
-            self.senders.push(sender);
-            up += 1;
         }
     }
 
     fn presence(&self) -> Envelope {
         let address = self.address.to_string();
-        let member = Member { id: JOINING_ID, name: address.clone(), address, voter: true };
+        let member = Member { id: self.id, name: address.clone(), address, voter: true };
         let present = Payload::Announce(Announce { member, formed: false, last_index: 0 });
-        Envelope { from: JOINING_ID, to: 0, term: 0, body: Some(present) }
+        Envelope { from: self.id, to: 0, term: 0, body: Some(present) }
     }
 }
 
-/// Waits for a message that only members receive.
-async fn becomes_member(listener: TcpListener, address: SocketAddr) {
-    let (events, mut accepted) = mpsc::channel(64);
-    tokio::spawn(accept(listener, JoiningReplica::config(address), events));
-    let mut senders = Vec::new();
-    loop {
-        match accepted.recv().await.expect("an event").kind {
-            EventKind::Up { sender, .. } => senders.push(sender),
-            EventKind::Frame(Body::Quorum(message)) => {
-                if !matches!(message.body, Some(Payload::Announce(_)) | None) {
-                    return;
+/// The accepting end of the links to a replica that joins.
+struct Accepted {
+    events: mpsc::Receiver<Event>,
+    senders: Vec<pond_link::Sender>,
+}
+
+impl Accepted {
+    fn start(listener: TcpListener, address: SocketAddr) -> Accepted {
+        let (sender, events) = mpsc::channel(64);
+        tokio::spawn(accept(listener, JoiningReplica::config(address), sender));
+        Accepted { events, senders: Vec::new() }
+    }
+
+    /// Waits for a message that only members receive. Returns the disk identity of the member.
+    async fn member(&mut self) -> u64 {
+        loop {
+            match self.events.recv().await.expect("an event").kind {
+                EventKind::Up { sender, .. } => self.senders.push(sender),
+                EventKind::Frame(Body::Quorum(message)) => {
+                    if !matches!(message.body, Some(Payload::Announce(_)) | None) {
+                        return message.to;
+                    }
                 }
+                EventKind::Frame(_) | EventKind::Down(_) => {}
             }
-            EventKind::Frame(_) | EventKind::Down(_) => {}
         }
     }
 }
@@ -136,13 +161,38 @@
     // It is not added before it accepts links, because it cannot be reached until then.
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("listens");
     let address = listener.local_addr().expect("an address");
-    let mut joining = JoiningReplica::start(address, &proxies);
-    joining.present().await;
+    let addresses: Vec<SocketAddr> = proxies.iter().map(BlackholeProxy::address).collect();
+    let mut joining = JoiningReplica::start(JOINING_ID, address, &addresses);
+    joining.link().await;
+    joining.present();
     // It receives nothing more, so it redials before the replicas notice that its old link is silent.
     proxies.iter().for_each(|proxy| proxy.drop_bytes(Blackhole::FromServer));
-    joining.present().await;
+    joining.link().await;
+    joining.present();
     sleep(SILENCE_NOTICED).await;
-    timeout(RECOVERY_TIMEOUT, becomes_member(listener, address))
-        .await
-        .expect("it is added in time");
+    let mut accepted = Accepted::start(listener, address);
+    timeout(RECOVERY_TIMEOUT, accepted.member()).await.expect("it is added in time");
+}
+
+/// Guards against the removal of a replica in favour of its predecessor with a lost disk, whose message was delayed.
+#[tokio::test]
+async fn replica_is_not_replaced_by_its_predecessor_at_the_same_address() {
+    let (listeners, seeds) = listeners().await;
+    let started = seeds.iter().zip(listeners);
+    let handles: Vec<Handle> =
+        started.map(|(own, listener)| start(*own, &seeds, listener, Memory::new())).collect();
+    leader(&handles).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("listens");
+    let address = listener.local_addr().expect("an address");
+    let mut accepted = Accepted::start(listener, address);
+    let mut predecessor = JoiningReplica::start(PREDECESSOR_ID, address, &seeds);
+    predecessor.link().await;
+    let mut joining = JoiningReplica::start(JOINING_ID, address, &seeds);
+    joining.link().await;
+    joining.present();
+    let added = timeout(RECOVERY_TIMEOUT, accepted.member()).await.expect("it is added in time");
+    assert_eq!(added, JOINING_ID);
+    predecessor.present();
+    let replaced = async { while accepted.member().await == JOINING_ID {} };
+    assert!(timeout(MEMBERS_CHANGED, replaced).await.is_err(), "its predecessor was added");
 }
