Replica: a new leader answers only once it has applied what was acknowledged before

What callers saw: an operator who reads right after an election gets an older configuration than the acknowledged one, or none; callers may get NotConfigured or NoJob for an accepted job in the same moment.

Cause: a leader is ready when an entry of its own term is committed, and then answers from its state. The message that commits this entry and the requests that wait behind it are handled in one batch, before the committed entries are applied. So for the rest of that batch the state is that of a follower.

Change: the lease counts only once the leader's own state has been made, which is after all these entries were applied. Requests until then wait for the rest of the batch, as those without a leader do.

operators.rs: the new test reads without a break from both other replicas after the loss of the leader.

--- a/crates/pond-replica/src/replica.rs
+++ b/crates/pond-replica/src/replica.rs
@@ -252,10 +252,14 @@
         }
     }
 
-    /// Whether this replica leads, its lease excludes other leaders, and its disk can store proposals.
+    /// Whether this replica leads, its lease excludes other leaders, its disk can store proposals, and its state
+    /// includes all that earlier leaders acknowledged.
     pub(crate) fn holds_lease(&self, now: Millis) -> bool {
+        // The core is ready when the entries of earlier leaders are committed, and the leader is created when
+        // they are applied.
         !self.disk_is_full()
             && self.core.ready()
+            && self.leader.is_some()
             && self.core.lease_until().is_some_and(|until| now < until)
     }
 
--- a/crates/pond-replica/tests/operators.rs
+++ b/crates/pond-replica/tests/operators.rs
@@ -6,9 +6,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use pond_job::Configuration;
 use pond_replica::{Handle, RequestError};
 use pond_store::Memory;
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, JoinSet, yield_now};
 use tokio::time::{sleep, timeout};
 
 use support::{RECOVERY_TIMEOUT, leader, listeners, start_task};
@@ -74,3 +75,45 @@
     // Elections take 0.5 to 1 s, or longer if votes are split.
     assert!(redirected >= 3, "only {redirected} of 6 were redirected");
 }
+
+/// Time after which an operator gives up a request and sends another.
+const IMPATIENCE: Duration = Duration::from_millis(1);
+
+/// Number of operators who read from each replica at the same time.
+const READERS: usize = 4;
+
+/// Reads the configuration again and again until a leader answers.
+async fn read_impatiently(handle: Handle) -> Option<String> {
+    loop {
+        match timeout(IMPATIENCE, handle.configuration()).await {
+            Ok(Ok(read)) => return read,
+            Ok(Err(_)) => yield_now().await,
+            Err(_) => {}
+        }
+    }
+}
+
+/// Guards against a new leader that answers before it has applied what its predecessor acknowledged.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn operators_read_what_was_acknowledged_as_soon_as_another_replica_leads() {
+    for version in 1..=5 {
+        let (_, replicas) = start_replicas().await;
+        let handles: Vec<Handle> = replicas.iter().map(|(handle, _)| handle.clone()).collect();
+        let lost = leader(&handles).await;
+        let source = "acknowledged".to_owned();
+        let order = Configuration { version, source, ..Configuration::default() };
+        handles[lost].configure(order).await.expect("acknowledged");
+        replicas[lost].1.abort();
+        let mut readers = JoinSet::new();
+        for handle in (0..handles.len()).filter(|i| *i != lost).map(|i| &handles[i]) {
+            for _ in 0..READERS {
+                readers.spawn(read_impatiently(handle.clone()));
+            }
+        }
+        for _ in 0..READERS {
+            let read = timeout(RECOVERY_TIMEOUT, readers.join_next()).await.expect("in time");
+            let read = read.expect("a reader").expect("an answer");
+            assert_eq!(read.as_deref(), Some("acknowledged"), "round {version}");
+        }
+    }
+}
