--- a/crates/pond-replica/tests/operators.rs
+++ b/crates/pond-replica/tests/operators.rs
@@ -117,3 +117,23 @@
         }
     }
 }
+
+/// Guards against requests that wait for good, or without a limit to their number, while there can be no leader.
+#[tokio::test]
+async fn operators_are_answered_in_time_while_there_can_be_no_leader() {
+    let (_, replicas) = start_replicas().await;
+    let handles: Vec<Handle> = replicas.iter().map(|(handle, _)| handle.clone()).collect();
+    let lost = leader(&handles).await;
+    let left = (lost + 1) % handles.len();
+    (0..handles.len()).filter(|i| *i != left).for_each(|i| replicas[i].1.abort());
+    sleep(SILENCE_NOTICED).await;
+    let mut readers = JoinSet::new();
+    for _ in 0..200 {
+        let handle = handles[left].clone();
+        readers.spawn(async move { timeout(OPERATOR_TIMEOUT, handle.configuration()).await });
+    }
+    while let Some(answer) = readers.join_next().await {
+        let answer = answer.expect("a reader").expect("an answer in time");
+        assert_eq!(answer, Err(RequestError::NotLeader(None)));
+    }
+}
