--- a/crates/pond-replica/src/replica.rs
+++ b/crates/pond-replica/src/replica.rs
@@ -106,7 +106,7 @@
     pub(crate) deferred: Vec<Deferred>,
     /// Present while this replica leads.
     pub(crate) leader: Option<Leader>,
-    /// The last recorded view of the voters, and whether this replica led then.
+    /// The last recorded view of the voters, and whether it was logged.
     pub(crate) redundancy: Option<(Redundancy, bool)>,
     /// The last announcement to the linked processes of who leads.
     pub(crate) announced: Option<LeaderInfo>,
