Links: a frame before the hello is at most 4 KiB

A client that opened links to a control replica and sent a frame of up to the maximum size without its end held as much memory as it had sent: 40 of them took a replica to 171 MB of 64 (frames_of_links_that_do_not_end).

Cause: the limit of a frame, 4 MiB, applied before the peer had said hello, when any client can still be at the other end. Only one small frame is expected there.

Change: until the hello has been checked the limit is 4 KiB. A larger frame ends the connection when its length has arrived.

--- a/crates/pond-link/src/connection.rs
+++ b/crates/pond-link/src/connection.rs
@@ -17,6 +17,10 @@
 /// TCP stream that carries length-delimited frames.
 pub type FramedStream = Framed<TcpStream, LengthDelimitedCodec>;
 
+/// Maximum size of a hello without its token, in bytes. Anyone can connect, and what a frame takes until it is
+/// complete is not limited otherwise.
+const MAX_HELLO_BYTES: usize = 4 << 10;
+
 /// Maximum number of frames written before a flush.
 const MAX_BATCH_FRAMES: usize = 64;
 
@@ -27,8 +31,8 @@
 /// token differs.
 pub async fn handshake(stream: TcpStream, config: &Config) -> Result<(FramedStream, Hello), Error> {
     stream.set_nodelay(true)?;
-    let codec =
-        LengthDelimitedCodec::builder().max_frame_length(config.max_frame_bytes).new_codec();
+    let max_hello_bytes = MAX_HELLO_BYTES + config.hello.token.len();
+    let codec = LengthDelimitedCodec::builder().max_frame_length(max_hello_bytes).new_codec();
     let mut framed = Framed::new(stream, codec);
     let body = Body::Hello(config.hello.clone());
     framed.send(encode(body)).await?;
@@ -42,6 +46,7 @@
     if hello.token != config.hello.token {
         return Err(Error::Token);
     }
+    framed.codec_mut().set_max_frame_length(config.max_frame_bytes);
     Ok((framed, hello))
 }
 
