HTTP server: connections and requests stay within a budget of bytes

Callers saw a process end: it ran out of memory. Crowds of clients sent large bodies, chunks of one byte, heads without end or empty lines, and stayed connected.

Cause: a server limited each connection, but not their sum. 4,096 connections could each hold a body, a read buffer of 400 KB and, with small chunks, a list of frames that keep a buffer each. At the limit of connections further ones waited, for as long as those that stand still were allowed to.

Change: pond-http has `Budget`, shared by the servers of a process. Each connection has an account, which grows with its read buffer and its body. What does not fit closes the oldest incomplete request, then idle connections, then answers that are not read; requests that are handled stay, and if nothing else is left the newcomer is refused with 503 and Retry-After. Oldest first, because a crowd that stands still is older than a caller that makes progress. The same order applies at the limit of connections. Further: a head takes at most 24 KiB; the chunks of a body are copied into one buffer; a body that states too large a size is refused before it is read; after a refusal the rest is read and discarded for up to a second, as a close with unread bytes resets the connection and may lose the refusal; the kernel's receive buffer is 16 KiB. pond-entry has `limits.request_memory_bytes`, 256 MiB by default. The server is split into modules.

No request inside the limits is refused in calm: 24 KiB is above the 16,384 bytes of the platform's configurations, and the largest body in chunks of one byte behind such a head is served (largest_request_is_served_in_any_form).

Ruled out: refusing newcomers only, which lets a crowd that stands still keep everyone out for the whole read timeout.

--- a/crates/pond-entry/src/caller.rs
+++ b/crates/pond-entry/src/caller.rs
@@ -175,6 +175,7 @@
             Refused::TooLarge => "the body is larger than limits.body_bytes",
             Refused::TooSlow => "the body did not come in time",
             Refused::CutOff => "the body broke off",
+            Refused::NoMemory => return not_run(NotRun::Overload),
         };
         rejected(refused.status(), message.to_owned())
     }
--- a/crates/pond-entry/src/process.rs
+++ b/crates/pond-entry/src/process.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pond_http::{Limits, Stop, serve};
+use pond_http::{Budget, Limits, Stop, serve_within};
 use pond_link::Config;
 use pond_log::{Logger, Metrics, event};
 use pond_process::{Error, Threads, listen, read_token};
@@ -52,12 +52,14 @@
         let mut process =
             Process { address, stop: stop.clone(), threads: Threads::new(), stop_timeout, log };
         let caller = Caller::new(sender, entry.default_deadline_ms);
+        let budget = Budget::new(limits.request_memory_bytes);
         let limits = Limits {
             max_connections: limits.connections,
             read_timeout: Duration::from_millis(limits.read_ms),
             max_body_bytes: limits.body_bytes,
+            ..Limits::default()
         };
-        process.start_callers(listener, limits, caller)?;
+        process.start_callers(listener, limits, budget, caller)?;
         process.start_router(settings, link_config, submissions, metrics)?;
         event!(process.log, STARTED, "callers" => address.to_string());
         Ok(process)
@@ -67,12 +69,13 @@
         &mut self,
         listener: TcpListener,
         limits: Limits,
+        budget: Budget,
         caller: Caller,
     ) -> Result<(), Error> {
         let (stop, log, max_wait) = (self.stop.clone(), self.log.clone(), self.stop_timeout);
         self.threads.spawn("callers", move || async move {
             let Ok(listener) = tokio::net::TcpListener::from_std(listener) else { return };
-            let serving = serve(listener, limits, stop.clone(), Arc::new(caller));
+            let serving = serve_within(listener, limits, budget, stop.clone(), Arc::new(caller));
             tokio::pin!(serving);
             tokio::select! {
                 () = serving.as_mut() => return,
--- a/crates/pond-http/src/stall.rs
+++ b/crates/pond-http/src/stall.rs
@@ -1,7 +1,9 @@
-//! A TCP stream whose writes fail once the peer has accepted nothing for too long.
+//! A TCP stream whose writes fail once the peer has accepted nothing for too long, and whose reads are recorded in the
+//! account of its connection.
 
 use std::io::{self, ErrorKind};
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -9,6 +11,8 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep, sleep_until};
 
+use crate::budget::Account;
+
 /// Longest time without progress of a write. The kernel retransmits an unacknowledged segment after
 /// 0.2, 0.4, 0.8, 1.6 and 3.2 s, so a network that recovers within this time loses no answer. Any
 /// progress restarts the time, so a caller that is only slow gets the complete answer.
@@ -24,16 +28,19 @@
 /// A connection whose writes fail when the peer accepts nothing for [`STALL_TIMEOUT`].
 pub(crate) struct Stream {
     inner: TcpStream,
+    account: Arc<Account>,
+    /// Largest head of a request, in bytes.
+    max_head_bytes: usize,
     /// Timer of a write that waits for the peer.
     stalled: Option<Pin<Box<Sleep>>>,
 }
 
 impl Stream {
     /// Wraps a connection and limits its send buffer.
-    pub fn new(inner: TcpStream) -> Stream {
+    pub fn new(inner: TcpStream, account: Arc<Account>, max_head_bytes: usize) -> Stream {
         // If the kernel refuses, progress is only reported in larger steps.
         let _ = socket2::SockRef::from(&inner).set_send_buffer_size(SEND_BUFFER_BYTES);
-        Stream { inner, stalled: None }
+        Stream { inner, account, max_head_bytes, stalled: None }
     }
 
     /// Returns the result of a write, or an error if the write has been pending for too long.
@@ -58,7 +65,11 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_read(context, buffer)
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.inner).poll_read(context, buffer))?;
+        let bytes = buffer.filled().len() - before;
+        let recorded = self.account.received(bytes, self.max_head_bytes);
+        Poll::Ready(recorded.map_err(|_| ErrorKind::OutOfMemory.into()))
     }
 }
 
@@ -86,7 +97,9 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_flush(context)
+        ready!(Pin::new(&mut self.inner).poll_flush(context))?;
+        self.account.flushed();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/pond-http/tests/limits.rs
+++ b/crates/pond-http/tests/limits.rs
@@ -33,6 +33,7 @@
         max_connections: 8,
         read_timeout: Duration::from_millis(200),
         max_body_bytes: 1000,
+        ..Limits::default()
     };
     tokio::spawn(serve(listener, limits, stop.clone(), echo.clone()));
     (address, echo, stop)
--- a/crates/pond-http/tests/stalled_callers.rs
+++ b/crates/pond-http/tests/stalled_callers.rs
@@ -53,6 +53,7 @@
         max_connections: MAX_CONNECTIONS,
         read_timeout: READ_TIMEOUT,
         max_body_bytes: 1000,
+        ..Limits::default()
     };
     let served = tokio::spawn(serve(listener, limits, stop.clone(), Arc::new(LargeOrEmpty)));
     (address, stop, served)
--- a/crates/pond-settings/src/process.rs
+++ b/crates/pond-settings/src/process.rs
@@ -124,6 +124,8 @@
     pub body_bytes: usize,
     /// Maximum number of connections from callers.
     pub connections: usize,
+    /// Memory for the connections and the requests of callers together, in bytes.
+    pub request_memory_bytes: usize,
     /// Timeout for receiving the header or the body of a request, in milliseconds.
     pub read_ms: Span,
     /// Maximum number of queued frames per link and direction.
@@ -138,6 +140,7 @@
             frame_bytes: 4 << 20,
             body_bytes: 1 << 20,
             connections: 4096,
+            request_memory_bytes: 256 << 20,
             read_ms: 10_000,
             link_queue: 1024,
             stop_ms: 10_000,
@@ -289,6 +292,11 @@
         frame_bytes: number("frame_bytes", 65_536..=67_108_864, default.frame_bytes),
         body_bytes: number("body_bytes", 1024..=33_554_432, default.body_bytes),
         connections: number("connections", 1..=65_536, default.connections),
+        request_memory_bytes: number(
+            "request_memory_bytes",
+            1 << 20..=1 << 40,
+            default.request_memory_bytes,
+        ),
         read_ms: reader.number_or("read_ms", 100..=600_000, default.read_ms),
         link_queue: number("link_queue", 16..=65_536, default.link_queue),
         stop_ms: reader.number_or("stop_ms", 100..=600_000, default.stop_ms),
@@ -301,6 +309,10 @@
             help,
         );
     }
+    if 2 * limits.body_bytes > limits.request_memory_bytes {
+        let help = "set request_memory_bytes to at least twice body_bytes";
+        reader.findings().add(reader.position(), "a maximum-size body would not fit", help);
+    }
     reader.finish();
     limits
 }
