Platform: connections stay within the memory and descriptors of the machine

Cause: `limits.memory_mb` and `limits.max_fds` of the settings were not read. Every listener of a process accepted 4,096 connections, and nothing bounded what they held together.

Change: the settings are read, and the listeners of a process share a budget of 35 % of the memory and the descriptors that the platform does not reserve, less those for links, files and metrics. Links of a replica get what its operators leave. Event 643 reports once a second how many connections made room, 644 each refused request of a caller; a request without memory gets 503 with Retry-After and was not passed on.

--- a/crates/pond-link/src/config.rs
+++ b/crates/pond-link/src/config.rs
@@ -51,6 +51,12 @@
         self
     }
 
+    /// Sets the maximum number of open links at a listener.
+    pub fn with_max_links(mut self, max_links: usize) -> Config {
+        self.max_links = max_links;
+        self
+    }
+
     /// Sets the address at which this process accepts internal links, as stated in its hello.
     pub fn with_address(mut self, address: &str) -> Config {
         self.hello.address = address.to_owned();
--- a/crates/pond-log/src/events.rs
+++ b/crates/pond-log/src/events.rs
@@ -222,6 +222,11 @@
         "nothing if it has ended; `displaced` means that several newer incarnations registered after it";
     CLAIM_HELD = 642, Warning, "registered incarnation answers, but nothing shows that the current one has ended",
         "nothing if 639 follows; otherwise find what registers at this agent by the address in 638";
+    CONNECTIONS_RECLAIMED = 643, Warning,
+        "connections were closed, or requests refused, to stay within the memory and the descriptors of the machine",
+        "find the callers that send incomplete requests; add entries if all of them are ordinary ones";
+    REQUEST_REFUSED = 644, Info, "request was refused before it was complete and has not run",
+        "`why` is `TooLarge`, `TooSlow`, `CutOff` (by the caller) or `NoMemory`: see 643";
     ADVISED = 619, Info, "adviser answered which workers may run a step", "nothing";
 }
 
--- a/crates/pond-replica/src/peers.rs
+++ b/crates/pond-replica/src/peers.rs
@@ -61,6 +61,7 @@
         let config =
             Config::new(WireRole::Control, &own, &settings.data_centre, Incarnation::random())
                 .with_limits(MAX_FRAME_BYTES, LINK_QUEUE)
+                .with_max_links(settings.max_links)
                 .with_address(&own)
                 .with_heartbeat(HEARTBEAT_INTERVAL, SILENCE_TIMEOUT);
         let config = Arc::new(config);
--- a/crates/pond-replica/src/replica.rs
+++ b/crates/pond-replica/src/replica.rs
@@ -67,6 +67,8 @@
     /// Time in milliseconds after the start of a replica from which it no longer counts as lost, nor does the
     /// one that it replaces.
     pub catch_up_ms: Span,
+    /// Maximum number of links that it accepts.
+    pub max_links: usize,
     /// Durations of leases and of their safety margins.
     pub timing: Timing,
 }
