Entry: memory for requests that wait counts them as they are decoded

Complete bodies of legal size ended the entry for want of memory: 400 of them took it to 6268 MB of 64 with empty steps and to 770 MB with ordinary ones (complete_jobs_of_empty_steps and complete_jobs_of_many_steps of tests/clients).

Cause: `{}` is two bytes on the wire and some 170 as a decoded step, and each request that waits is held up to three times: to send it again, on its way, and encoded. Up to 2,000 requests wait, whatever their size; a limit on bodies does not see it.

--- a/crates/pond-intake/src/dispatcher.rs
+++ b/crates/pond-intake/src/dispatcher.rs
@@ -30,6 +30,8 @@
         /// Time after which to retry, in milliseconds; `None` if it is unknown.
         retry_after_ms: Option<Span>,
     },
+    /// The request found no memory to wait in. It did not run and will not run.
+    NoMemory,
     /// The request may have run, or may still run.
     Unknown,
 }
--- a/crates/pond-intake/src/intake.rs
+++ b/crates/pond-intake/src/intake.rs
@@ -12,11 +12,17 @@
 use pond_proto::wire::Body;
 use pond_proto::{Millis, Span};
 use pond_uplink::{Notification, Uplink};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
 use tokio::time::sleep;
 
 use crate::dispatcher::{Answer, Dispatcher, Output};
 
+/// Number of copies of a request while it waits: one to send it again, one that is being sent, and one that is encoded.
+const COPIES: usize = 3;
+
+/// Unit in which the memory for waiting requests is reserved, in bytes.
+const MEMORY_UNIT_BYTES: usize = 1 << 10;
+
 /// Maximum number of queued inputs: twice the number of requests that the dispatcher lets wait.
 const MAX_QUEUED_INPUTS: usize = 4096;
 
@@ -29,27 +35,50 @@
 
 /// An input from a [`Handle`].
 enum Input {
-    Request { target: Target, verb: Verb, timeout_ms: Span, reply: oneshot::Sender<Answer> },
+    Request { target: Target, verb: Verb, timeout_ms: Span, waiter: Waiter },
     AddAddresses(Vec<String>),
 }
 
+/// Where the answer to a request goes.
+struct Waiter {
+    reply: oneshot::Sender<Answer>,
+    /// Memory of the request, which is released with its answer even if the caller has disconnected before.
+    _memory: OwnedSemaphorePermit,
+}
+
 /// Submits requests to a running [`Intake`].
 #[derive(Clone)]
 pub struct Handle {
     inputs: mpsc::Sender<Input>,
     ready: Arc<AtomicBool>,
+    /// Memory for waiting requests, in units of [`MEMORY_UNIT_BYTES`].
+    memory: Arc<Semaphore>,
+    max_units: usize,
 }
 
 impl Handle {
-    /// Sends a request to the leader and waits for its result.
+    /// Sends a request to the leader and waits for its result. A request that finds no memory is not run.
     pub async fn request(&self, target: Target, verb: Verb, timeout_ms: Span) -> Answer {
+        let Some(memory) = self.reserve(&target, &verb) else { return Answer::NoMemory };
         let (reply, answer) = oneshot::channel();
-        if self.inputs.send(Input::Request { target, verb, timeout_ms, reply }).await.is_err() {
+        let waiter = Waiter { reply, _memory: memory };
+        if self.inputs.send(Input::Request { target, verb, timeout_ms, waiter }).await.is_err() {
             return Answer::NotRun { retry_after_ms: None };
         }
         answer.await.unwrap_or(Answer::Unknown)
     }
 
+    fn reserve(&self, target: &Target, verb: &Verb) -> Option<OwnedSemaphorePermit> {
+        let spec_bytes = match verb {
+            Verb::Submit(submit) => submit.spec.memory_bytes(),
+            Verb::Look(_) | Verb::Cancel(_) | Verb::Count(_) => 0,
+        };
+        let bytes = COPIES * (spec_bytes + target.host.len() + target.path.len());
+        // The largest request alone always fits.
+        let units = bytes.div_ceil(MEMORY_UNIT_BYTES).min(self.max_units);
+        self.memory.clone().try_acquire_many_owned(units as u32).ok()
+    }
+
     /// Returns whether requests can be served: a leader with a configuration was reached recently.
     pub fn ready(&self) -> bool {
         self.ready.load(Ordering::Relaxed)
@@ -67,7 +96,7 @@
     uplink: Uplink,
     links: mpsc::Receiver<Event>,
     inputs: mpsc::Receiver<Input>,
-    replies: BTreeMap<u64, oneshot::Sender<Answer>>,
+    waiters: BTreeMap<u64, Waiter>,
     ready: Arc<AtomicBool>,
     /// Whether a leader with a configuration has been reached.
     configured: bool,
@@ -78,8 +107,10 @@
 }
 
 impl Intake {
-    /// Creates an intake that reaches control through `uplink`, whose events come through `links`.
+    /// Creates an intake that reaches control through `uplink`, whose events come through `links`. Requests that wait
+    /// take at most `max_bytes` of memory together.
     pub fn new(
+        max_bytes: usize,
         uplink: Uplink,
         links: mpsc::Receiver<Event>,
         clock: Clock,
@@ -87,13 +118,15 @@
     ) -> (Intake, Handle) {
         let (sender, inputs) = mpsc::channel(MAX_QUEUED_INPUTS);
         let ready = Arc::new(AtomicBool::new(false));
-        let handle = Handle { inputs: sender, ready: ready.clone() };
+        let max_units = (max_bytes / MEMORY_UNIT_BYTES).clamp(1, u32::MAX as usize);
+        let memory = Arc::new(Semaphore::new(max_units));
+        let handle = Handle { inputs: sender, ready: ready.clone(), memory, max_units };
         let intake = Intake {
             dispatcher: Dispatcher::new(),
             uplink,
             links,
             inputs,
-            replies: BTreeMap::new(),
+            waiters: BTreeMap::new(),
             ready,
             configured: false,
             last_leader_at: Millis(0),
@@ -159,9 +192,9 @@
 
     fn input(&mut self, input: Input) {
         match input {
-            Input::Request { target, verb, timeout_ms, reply } => {
+            Input::Request { target, verb, timeout_ms, waiter } => {
                 let ticket = self.dispatcher.request(self.now(), target, verb, timeout_ms);
-                self.replies.insert(ticket, reply);
+                self.waiters.insert(ticket, waiter);
             }
             Input::AddAddresses(addresses) => self.uplink.add_addresses(&addresses),
         }
@@ -185,9 +218,9 @@
                 self.dispatcher.sent(ticket, sent);
             }
             Output::Answer { ticket, answer } => {
-                if let Some(reply) = self.replies.remove(&ticket) {
+                if let Some(waiter) = self.waiters.remove(&ticket) {
                     // The caller may have disconnected.
-                    let _ = reply.send(answer);
+                    let _ = waiter.reply.send(answer);
                 }
             }
         }
--- a/crates/pond-job/src/state/mod.rs
+++ b/crates/pond-job/src/state/mod.rs
@@ -16,10 +16,6 @@
 use crate::job::{Job, Task, critical_path_ms};
 use crate::suspicion::Suspicion;
 
-/// Maximum number of tasks of one job, so that no job can fill the memory: a task takes some hundred bytes, so this
-/// many take a few megabytes.
-const MAX_TASKS_PER_JOB: usize = 20_000;
-
 /// The state that the control replicas agree on.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct State {
@@ -51,6 +47,10 @@
 }
 
 impl State {
+    /// Maximum number of tasks, and of steps, of one job, so that no job can fill the memory: a task takes some hundred
+    /// bytes, so this many take a few megabytes.
+    pub const MAX_TASKS_PER_JOB: usize = 20_000;
+
     /// Creates an empty state.
     pub fn new() -> State {
         State::default()
@@ -296,7 +296,7 @@
         let tasks = tasks.max(spec.steps.len()).max(1);
         let refers_back =
             |(i, step): (usize, &Step)| step.after.iter().all(|before| (*before as usize) < i);
-        tasks.saturating_mul(repetitions) <= MAX_TASKS_PER_JOB
+        tasks.saturating_mul(repetitions) <= State::MAX_TASKS_PER_JOB
             && spec.steps.iter().enumerate().all(refers_back)
     }
 }
--- a/crates/pond-proto/src/job.rs
+++ b/crates/pond-proto/src/job.rs
@@ -21,6 +21,20 @@
     pub repeat: Option<Repeat>,
 }
 
+impl Spec {
+    /// Returns the memory that the description takes, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        self.text.len() + self.steps.iter().map(Step::memory_bytes).sum::<usize>()
+    }
+}
+
+impl Step {
+    fn memory_bytes(&self) -> usize {
+        let texts = self.required_label.len() + self.data_rack.len() + self.image.len();
+        size_of::<Step>() + size_of_val(self.after.as_slice()) + texts
+    }
+}
+
 /// A group of identical tasks.
 #[derive(Clone, PartialEq, Message, Serialize, Deserialize)]
 pub struct Step {
