Leader: the place of a job is determined once for all its steps

After a handful of jobs of 5,000 steps had been accepted, the leader answered nothing for seconds: its links were lost for silence, and callers got 503 and 504 (complete_jobs_of_many_steps).

Cause: the plan determined the urgency of a job, and whether it is short, for each of its steps, and both walk all steps: 25 million visits a job and plan.

Change: both are determined for the first step that is ready and kept for the others of the same repetition. They do not depend on the step, so plans are the same.

--- a/crates/pond-job/src/lead/ready/mod.rs
+++ b/crates/pond-job/src/lead/ready/mod.rs
@@ -81,14 +81,21 @@
             if job.spec.repeat.is_some() && wall < job.due(repetition) {
                 continue;
             }
+            // The same for all steps of a repetition; a job may have thousands of them.
+            let mut common: Option<(bool, Urgency)> = None;
             for (step_index, (step, tasks)) in job.spec.steps.iter().zip(steps).enumerate() {
                 if tasks.iter().any(Task::is_pending) && job.is_step_ready(repetition, step_index) {
-                    let overloaded = job.is_short()
-                        && overloaded.get(&job.pool).is_some_and(|from| job.priority >= *from);
-                    let urgency = urgency(id, state, durations, job, repetition, wall, overloaded);
+                    let (short, urgency) = *common.get_or_insert_with(|| {
+                        let short = job.is_short();
+                        let lowest = overloaded.get(&job.pool);
+                        let overloaded = short && lowest.is_some_and(|from| job.priority >= *from);
+                        let urgency =
+                            urgency(id, state, durations, job, repetition, wall, overloaded);
+                        (short, urgency)
+                    });
                     let serving = interference.new_serving(now, step);
                     let image = interference.image(&step.image);
-                    let wanted = if urgency.yields() && job.is_short() {
+                    let wanted = if urgency.yields() && short {
                         let task_ms = durations.expected_ms(&job.queue, step);
                         wanted_milli_cpu(state, now, demand, job, task_ms)
                     } else {
