Control: the log line of an accepted job names at most 16 steps

An accepted job of 5,000 steps wrote a line of 250 KB to the log, which is slow and fills the disks that keep the logs. Seen in the log of complete_jobs_of_many_steps (tests/clients).

Change: event 600 has the first 16 steps and `step_count`. All jobs of the platform's data sheets have fewer, so their lines keep all steps.

Result: the tests of pond-replica pass. The line's length was not measured again.

--- a/crates/pond-replica/src/audit.rs
+++ b/crates/pond-replica/src/audit.rs
@@ -10,6 +10,9 @@
 /// Maximum number of runs that an event lists; the others are only counted.
 const MAX_RUNS_LOGGED: usize = 8;
 
+/// Maximum number of steps of an accepted job in its log line.
+const MAX_LOGGED_STEPS: usize = 16;
+
 impl Replica {
     /// Logs a decision of the leader.
     pub(crate) fn log_decision(&self, decision: Decision) {
@@ -107,9 +110,11 @@
             }
             Change::Submit { id, spec, .. } => {
                 let queue = self.state.job(*id).map_or(String::new(), |job| job.queue.clone());
-                let steps: Vec<String> = spec.steps.iter().map(Step::to_string).collect();
+                let steps = spec.steps.iter().take(MAX_LOGGED_STEPS).map(Step::to_string);
+                let steps: Vec<String> = steps.collect();
                 event!(self.log, JOB_ACCEPTED, "job" => format!("{id:016x}"), "queue" => queue,
-                    "steps" => steps.join(", "), "reply" => format!("{reply:?}"));
+                    "steps" => steps.join(", "), "step_count" => spec.steps.len(),
+                    "reply" => format!("{reply:?}"));
             }
             Change::Cancel { id, .. } => {
                 event!(self.log, JOB_CANCELLED, "job" => format!("{id:016x}"),
