--- a/crates/pond-link/tests/invalid_peers.rs
+++ b/crates/pond-link/tests/invalid_peers.rs
@@ -87,6 +87,34 @@
     }
 }
 
+/// Guards against peers that make a process hold a large frame before it knows who they are.
+#[tokio::test]
+async fn large_frame_before_the_hello_closes_the_link() {
+    let (address, mut events) = listen(config().with_limits(4 << 20, 16)).await;
+    let mut stream = TcpStream::connect(address).await.expect("connects");
+    stream.write_all(&(1_u32 << 20).to_be_bytes()).await.expect("writes");
+    let kind = events.recv().await.expect("an event").kind;
+    assert!(matches!(kind, EventKind::Down(Error::BadFrame { .. })), "{kind:?}");
+}
+
+#[tokio::test]
+async fn large_frame_after_the_hello_is_received() {
+    let (address, mut events) = listen(config().with_limits(4 << 20, 16)).await;
+    let mut stream = TcpStream::connect(address).await.expect("connects");
+    let name = "a".repeat(1 << 20);
+    let large = Body::Hello(Hello { name, ..hello() });
+    stream.write_all(&framed(Body::Hello(hello()))).await.expect("writes");
+    stream.write_all(&framed(large.clone())).await.expect("writes");
+    let mut senders = Vec::new();
+    loop {
+        match events.recv().await.expect("an event").kind {
+            EventKind::Up { sender, .. } => senders.push(sender),
+            EventKind::Frame(body) => return assert_eq!(body, large),
+            EventKind::Down(error) => panic!("{error}"),
+        }
+    }
+}
+
 #[tokio::test]
 async fn silent_peer_is_disconnected() {
     for bytes in [Vec::new(), framed(Body::Hello(hello()))] {
