--- a/crates/pond-http/src/limits.rs
+++ b/crates/pond-http/src/limits.rs
@@ -16,6 +16,10 @@
     pub max_head_bytes: usize,
     /// Largest body, in bytes.
     pub max_body_bytes: usize,
+    /// Size of the kernel's receive buffer of a connection, in bytes; the kernel doubles it for its own overhead. What
+    /// has arrived and is not read takes memory, also of connections that were not accepted yet. A larger buffer
+    /// lets a large body arrive faster over a long way.
+    pub receive_buffer_bytes: usize,
 }
 
 impl Default for Limits {
@@ -25,6 +29,7 @@
             read_timeout: Duration::from_secs(10),
             max_head_bytes: 24 << 10,
             max_body_bytes: 1 << 20,
+            receive_buffer_bytes: 16 << 10,
         }
     }
 }
--- a/crates/pond-http/src/server.rs
+++ b/crates/pond-http/src/server.rs
@@ -16,10 +16,6 @@
 /// Pause after a failure to accept a connection, such as a lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Size of the kernel's receive buffer of a connection, in bytes; the kernel doubles it for its own overhead. What has
-/// arrived and is not read takes memory, also of connections that were not accepted yet.
-const RECEIVE_BUFFER_BYTES: usize = 16 << 10;
-
 /// Value of `retry-after` for requests without memory, in seconds.
 const RETRY_AFTER_S: HeaderValue = HeaderValue::from_static("1");
 
@@ -56,7 +52,7 @@
     handler: Arc<dyn Handler>,
 ) {
     // If the kernel refuses, only its own limit applies.
-    let _ = socket2::SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
+    let _ = socket2::SockRef::from(&listener).set_recv_buffer_size(limits.receive_buffer_bytes);
     let closing = Arc::new(AtomicBool::new(false));
     let server = Server {
         key: budget.register(),
