HTTP server: complete requests that have arrived are read before connections are closed

Cause: the loop that accepts connections closed older ones to make room before their tasks had run once, so what had arrived on them was never read.

Change: at the limit the loop yields once first. Complete requests are then being handled, and are never closed; further connections wait. An answer also makes room for itself now, so that large answers that are not read stay within the budget.

--- a/crates/pond-http/src/budget.rs
+++ b/crates/pond-http/src/budget.rs
@@ -128,7 +128,7 @@
 
     fn open(&mut self, server: u64, reclaimed: Stop) -> Result<u64, Full> {
         let key = self.next_number();
-        self.make_room(key, CONNECTION_BYTES)?;
+        self.require_room(key, CONNECTION_BYTES)?;
         let (phase, bytes) = (Phase::Idle, CONNECTION_BYTES);
         self.entries
             .insert(key, Entry { server, phase, since: key, bytes, received: 0, reclaimed });
@@ -138,15 +138,22 @@
         Ok(key)
     }
 
-    /// Closes other connections until `extra` more bytes fit.
-    fn make_room(&mut self, key: u64, extra: usize) -> Result<(), Full> {
+    /// Closes other connections until `extra` more bytes fit. Returns false if they do not.
+    fn make_room(&mut self, key: u64, extra: usize) -> bool {
         while self.usage.bytes.saturating_add(extra) > self.max_bytes {
             if !self.reclaim(|other, _| other != key) {
-                self.usage.refusals += 1;
-                return Err(Full);
+                return false;
             }
         }
-        Ok(())
+        true
+    }
+
+    fn require_room(&mut self, key: u64, extra: usize) -> Result<(), Full> {
+        if self.make_room(key, extra) {
+            return Ok(());
+        }
+        self.usage.refusals += 1;
+        Err(Full)
     }
 
     /// Closes the first connection in the order that `may_close` selects.
@@ -185,7 +192,7 @@
 
     fn reserve(&mut self, key: u64, extra: usize) -> Result<(), Full> {
         let bytes = self.entries.get(&key).ok_or(Full)?.bytes;
-        self.make_room(key, extra)?;
+        self.require_room(key, extra)?;
         self.set_bytes(key, bytes + extra);
         Ok(())
     }
@@ -239,10 +246,13 @@
         self.budget.lock().set_phase(self.key, Phase::Handling, None);
     }
 
-    /// Records that the request has an answer with a body of `bytes` bytes.
+    /// Records that the request has an answer with a body of `bytes` bytes, which has a place even if nothing can be
+    /// closed.
     pub fn answering(&self, bytes: usize) {
         let mut ledger = self.budget.lock();
         ledger.set_phase(self.key, Phase::Answering, None);
+        ledger.set_bytes(self.key, CONNECTION_BYTES);
+        ledger.make_room(self.key, bytes);
         ledger.set_bytes(self.key, CONNECTION_BYTES + bytes);
     }
 
--- a/crates/pond-http/src/server.rs
+++ b/crates/pond-http/src/server.rs
@@ -9,6 +9,7 @@
 use http::{HeaderValue, header};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::task::yield_now;
 
 use crate::connection::{self, Shared};
 use crate::{Budget, Call, Limits, Refused, Reply, Stop};
@@ -108,6 +109,10 @@
     }
 
     async fn permit(&self) -> Option<OwnedSemaphorePermit> {
+        if self.permits.available_permits() == 0 {
+            // Requests that have arrived completely are read first, so that none of them is closed.
+            yield_now().await;
+        }
         if self.permits.available_permits() == 0 {
             // If none can be closed, the connection waits for one to end.
             self.budget.reclaim(self.key);
--- a/crates/pond-http/tests/crowded.rs
+++ b/crates/pond-http/tests/crowded.rs
@@ -1,6 +1,7 @@
 //! What a server closes, refuses and serves when memory or connections are short.
 
 use std::future::Future;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -150,6 +151,39 @@
     }
 }
 
+#[tokio::test]
+async fn complete_requests_above_the_limit_of_connections_are_all_served() {
+    const CALLERS: usize = 100;
+    let server = Server::start(8).await;
+    // The server runs on this thread, so all requests have arrived before it accepts the first connection.
+    let send = |_| {
+        let mut stream = std::net::TcpStream::connect(server.address).expect("connects");
+        let request = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\n\r\na";
+        stream.write_all(request).expect("writes");
+        stream.set_nonblocking(true).expect("a stream");
+        TcpStream::from_std(stream).expect("a stream")
+    };
+    let streams: Vec<TcpStream> = (0..CALLERS).map(send).collect();
+    for mut stream in streams {
+        let mut answer = [0; 12];
+        stream.read_exact(&mut answer).await.expect("an answer");
+        assert_eq!(&answer, b"HTTP/1.1 200");
+    }
+}
+
+#[tokio::test]
+async fn large_answers_that_are_not_read_make_room_for_others() {
+    let server = Server::start(64).await;
+    let mut unread = Vec::new();
+    for _ in 0..8 * BODIES {
+        let stream = server.send(BODY_BYTES, &vec![b'a'; BODY_BYTES]).await;
+        unread.push(stream);
+    }
+    assert_eq!(server.answers(b"b".to_vec()).await.status, StatusCode::OK);
+    let limit = BODIES * (BODY_BYTES + CONNECTION_BYTES + Limits::default().max_head_bytes);
+    assert!(server.budget.usage().bytes <= limit, "{:?}", server.budget.usage());
+}
+
 #[tokio::test]
 async fn connection_above_the_limit_closes_an_incomplete_request_before_an_idle_connection() {
     let server = Server::start(2).await;
