Control: accepted jobs and log entries stay within the memory of the machine

Complete bodies of legal size filled a control replica: with four crowds of 400 clients, whose jobs had a label of 255 KB, it went from 11 MB to 69 and 65 MB of 64 in two runs, and grew on (complete_jobs_with_long_labels).

Change: the leader rejects a job that would take unfinished jobs over 10 % of the machine's memory, with 429 and 5 s to retry, at the same point as admission control, so that copies of accepted jobs are not rejected and a rejected request stays rejected. Jobs of the design size, 18,000 running tasks, take some 3 MB of the 25 MB that a machine of 256 MB has for them.

The tests of pond-replica pass.

--- a/crates/pond-job/src/state/mod.rs
+++ b/crates/pond-job/src/state/mod.rs
@@ -287,6 +287,19 @@
         Reply::Accepted
     }
 
+    /// Returns the memory that the unfinished jobs take, in bytes.
+    pub fn jobs_memory_bytes(&self) -> usize {
+        self.active().map(|(_, job)| State::memory_bytes(&job.spec)).sum()
+    }
+
+    /// Returns the memory that a job with this specification takes until it has ended, in bytes.
+    pub fn memory_bytes(spec: &Spec) -> usize {
+        let repetitions = spec.repeat.map_or(1, |repeat| repeat.times as usize);
+        let tasks: usize = spec.steps.iter().map(|step| step.tasks as usize).sum();
+        let tasks = tasks.saturating_mul(repetitions).saturating_mul(size_of::<Task>());
+        spec.memory_bytes().saturating_add(tasks)
+    }
+
     /// Returns whether a job's specification is acceptable: steps depend only on earlier steps, and the number of
     /// tasks is limited.
     pub fn is_acceptable(spec: &Spec) -> bool {
--- a/crates/pond-replica/src/admission.rs
+++ b/crates/pond-replica/src/admission.rs
@@ -19,6 +19,46 @@
 /// second, in which frames of a lost link have been read.
 const MAX_REJECTIONS: usize = 2_048;
 
+/// Share of the machine's memory for jobs that have not ended, in percent. Snapshots hold them once more, and encode
+/// them.
+const JOBS_MEMORY_PERCENT: usize = 10;
+
+/// Interval at which the memory of the jobs is summed up, in milliseconds. Jobs accepted since are added.
+const COUNT_INTERVAL_MS: Span = 250;
+
+/// Time after which to submit a job again for which there is no memory, in milliseconds: the longest that control names
+/// for a rejected job.
+pub(crate) const NO_MEMORY_RETRY_MS: Span = 5_000;
+
+/// Memory of the jobs that have not ended.
+#[derive(Debug)]
+pub(crate) struct JobMemory {
+    max_bytes: usize,
+    bytes: usize,
+    counted_at: Option<Millis>,
+}
+
+impl JobMemory {
+    /// Creates the account of a machine with this memory.
+    pub(crate) fn new(machine_bytes: usize) -> JobMemory {
+        let max_bytes = machine_bytes / 100 * JOBS_MEMORY_PERCENT;
+        JobMemory { max_bytes, bytes: 0, counted_at: None }
+    }
+
+    /// Reserves memory for a new job. Returns false if there is none.
+    pub(crate) fn reserve(&mut self, now: Millis, state: &State, spec: &Spec) -> bool {
+        if self.counted_at.is_none_or(|at| now.since(at) >= COUNT_INTERVAL_MS) {
+            (self.bytes, self.counted_at) = (state.jobs_memory_bytes(), Some(now));
+        }
+        let needed = self.bytes.saturating_add(State::memory_bytes(spec));
+        let fits = needed <= self.max_bytes;
+        if fits {
+            self.bytes = needed;
+        }
+        fits
+    }
+}
+
 /// A new job that a caller submits.
 #[derive(Clone, Copy, Debug)]
 pub struct Submission<'a> {
--- a/crates/pond-replica/src/callers.rs
+++ b/crates/pond-replica/src/callers.rs
@@ -9,7 +9,7 @@
 use pond_proto::wire::Body;
 use pond_proto::{Millis, Span};
 
-use crate::admission::Submission;
+use crate::admission::{NO_MEMORY_RETRY_MS, Submission};
 use crate::pending::Waiter;
 use crate::replica::Replica;
 
@@ -129,6 +129,12 @@
         // A leader exists once all earlier entries of the log are applied. Until then an accepted job may
         // be missing from the state, and a copy of it must not be rejected.
         let (Some(queue), Some(leader)) = (queue, &mut self.leader) else { return Ok(wall) };
+        if !self.job_memory.reserve(now, &self.state, spec) {
+            event!(self.log, JOB_REJECTED, "job" => format!("{id:016x}"),
+                "why" => "no memory for further jobs");
+            self.rejections.insert(request, NO_MEMORY_RETRY_MS);
+            return Err(NO_MEMORY_RETRY_MS);
+        }
         let submission = Submission { id, spec, queue, now, wall };
         let admission = self.admitter.admit(leader, &self.state, submission);
         self.admission_counters.count(&self.metrics, &queue.name, &admission);
--- a/crates/pond-replica/src/outputs.rs
+++ b/crates/pond-replica/src/outputs.rs
@@ -18,6 +18,10 @@
 /// replica. Half of the value in pond-control, because one entry holds many starts and ends here.
 const SNAPSHOT_EVERY: u64 = 4096;
 
+/// Share of the machine's memory for log entries since the last snapshot, in percent. The quorum keeps them in memory,
+/// and a replica reads them back when it starts.
+const LOG_MEMORY_PERCENT: usize = 6;
+
 /// Interval at which a full disk is logged while the condition lasts, in milliseconds.
 const DISK_FULL_LOG_INTERVAL_MS: Span = 5_000;
 
@@ -159,7 +163,10 @@
             if entry.kind() == Kind::Change {
                 self.apply_change(&entry);
             }
-            if entry.index.is_multiple_of(SNAPSHOT_EVERY) {
+            self.unsnapshotted_bytes += entry.data.len();
+            let max_bytes = self.settings.memory_bytes / 100 * LOG_MEMORY_PERCENT;
+            if entry.index.is_multiple_of(SNAPSHOT_EVERY) || self.unsnapshotted_bytes > max_bytes {
+                self.unsnapshotted_bytes = 0;
                 self.save_snapshot(entry.index)?;
             }
         }
--- a/crates/pond-replica/src/replica.rs
+++ b/crates/pond-replica/src/replica.rs
@@ -18,7 +18,7 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
-use crate::admission::{Admitter, Counters, LeaderAdmitter, Rejections};
+use crate::admission::{Admitter, Counters, JobMemory, LeaderAdmitter, Rejections};
 use crate::adviser::Adviser;
 use crate::formation::Formation;
 use crate::handle::{Handle, Request};
@@ -69,6 +69,8 @@
     pub catch_up_ms: Span,
     /// Maximum number of links that it accepts.
     pub max_links: usize,
+    /// Memory of its machine, in bytes.
+    pub memory_bytes: usize,
     /// Durations of leases and of their safety margins.
     pub timing: Timing,
 }
@@ -119,6 +121,9 @@
     /// Decides whether new jobs are accepted.
     pub(crate) admitter: Box<dyn Admitter>,
     pub(crate) rejections: Rejections,
+    pub(crate) job_memory: JobMemory,
+    /// Size of the log entries that were applied since the last snapshot, in bytes.
+    pub(crate) unsnapshotted_bytes: usize,
     pub(crate) admission_counters: Counters,
     /// Returns answers of the adviser to this task.
     pub(crate) handle: Handle,
@@ -148,6 +153,7 @@
         let formation = formation(&settings, &recovered);
         let applied = recovered.snapshot.as_ref().map_or(0, |snapshot| snapshot.head.index);
         let core = core(recovered, clock.now());
+        let job_memory = JobMemory::new(settings.memory_bytes);
         let (requests, request_queue) = mpsc::channel(REQUEST_QUEUE);
         let (events, links) = mpsc::channel(EVENT_QUEUE);
         let peers = Peers::start(&settings, listener, events, log.clone());
@@ -173,6 +179,8 @@
             adviser,
             admitter: Box::new(LeaderAdmitter),
             rejections: Rejections::default(),
+            job_memory,
+            unsnapshotted_bytes: 0,
             admission_counters: Counters::default(),
             handle: handle.clone(),
             stopping: None,
--- a/crates/pond-replica/tests/support/mod.rs
+++ b/crates/pond-replica/tests/support/mod.rs
@@ -89,6 +89,7 @@
         data_centre: "here".to_owned(),
         tolerated_losses: losses,
         max_links: 4_096,
+        memory_bytes: 256 << 20,
         catch_up_ms: CATCH_UP.as_millis() as u64,
         timing: Timing {
             lease_ms: 1_000,
--- a/tests/clients/crowd.rs
+++ b/tests/clients/crowd.rs
@@ -20,8 +20,8 @@
 /// Job id in the head of a message, in place of which each client sends an id of its own.
 pub const JOB_ID: &str = "00000000000000ff";
 
-/// Job id of the first client.
-const FIRST_JOB: usize = 0xff00;
+/// Job id of the next client.
+static NEXT_JOB: AtomicUsize = AtomicUsize::new(0xff00);
 
 /// Pause between the pieces of a request that is sent piece by piece.
 const PIECE_PAUSE: Duration = Duration::from_millis(1);
@@ -87,10 +87,11 @@
         }
     }
 
-    /// Returns the head with the job id of a client.
-    fn head_of(&self, client: usize) -> Vec<u8> {
+    /// Returns the head with a job id of its own.
+    fn own_head(&self) -> Vec<u8> {
+        let id = NEXT_JOB.fetch_add(1, Ordering::Relaxed);
         match std::str::from_utf8(&self.head) {
-            Ok(head) => head.replace(JOB_ID, &format!("{:016x}", FIRST_JOB + client)).into_bytes(),
+            Ok(head) => head.replace(JOB_ID, &format!("{id:016x}")).into_bytes(),
             Err(_) => self.head.clone(),
         }
     }
@@ -160,7 +161,7 @@
 ) -> std::io::Result<TcpStream> {
     let complete = client.is_multiple_of(message.complete_one_in);
     let mut stream = TcpStream::connect(address).await?;
-    stream.write_all(&message.head_of(client)).await?;
+    stream.write_all(&message.own_head()).await?;
     // Short units are sent together, as a client would that has them all.
     let batch = if message.pause.is_zero() { 4096_usize.div_ceil(message.unit.len()) } else { 1 };
     let unit = message.unit.repeat(batch);
--- a/tests/clients/main.rs
+++ b/tests/clients/main.rs
@@ -44,6 +44,12 @@
 /// Length of the extension of a chunk, in bytes.
 const EXTENSION_BYTES: usize = 8 << 10;
 
+/// Number of crowds whose complete jobs reach control one after the other.
+const CROWDS: usize = 4;
+
+/// Number of tasks of a job of many tasks.
+const MANY_TASKS: usize = 10_000;
+
 /// Room for the JSON at the end of a body, in bytes.
 const JSON_BYTES: usize = 1 << 10;
 
@@ -360,6 +366,28 @@
     assert!(problems.is_empty(), "{problems:#?}");
 }
 
+#[test]
+fn complete_jobs_with_long_labels() {
+    let step = json!({ "count": 1, "cpu": 100, "requires": "a".repeat(BODY_BYTES - JSON_BYTES) });
+    let job = json!({ "spec": "text", "steps": [step] }).to_string();
+    let mut installation = Installation::start();
+    let message = Message::whole(&head(installation.entry.ip()), 0, &job).with_all_complete();
+    let mut problems = Vec::new();
+    for _ in 0..CROWDS {
+        problems.extend(installation.withstand("entry", Listener::Callers, CLIENTS, &message));
+    }
+    assert!(problems.is_empty(), "{problems:#?}");
+}
+
+#[test]
+fn complete_jobs_of_many_tasks() {
+    let job = json!({ "spec": "text", "steps": [{ "count": MANY_TASKS, "cpu": 100 }] }).to_string();
+    let mut installation = Installation::start();
+    let message = Message::whole(&head(installation.entry.ip()), 0, &job).with_all_complete();
+    let problems = installation.withstand("entry", Listener::Callers, CLIENTS, &message);
+    assert!(problems.is_empty(), "{problems:#?}");
+}
+
 #[test]
 fn complete_jobs_of_empty_steps() {
     let steps = "{},".repeat((BODY_BYTES - JSON_BYTES) / 3);
