--- a/crates/pond-replica/tests/admission.rs
+++ b/crates/pond-replica/tests/admission.rs
@@ -23,11 +23,14 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, timeout};
 
-use support::{RECOVERY_TIMEOUT, leader, listeners, start_measured};
+use support::{MEMORY_BYTES, RECOVERY_TIMEOUT, leader, listeners, start_measured};
 
 /// Time after which rejected callers may retry, in milliseconds.
 const RETRY_AFTER_MS: u64 = 1_200;
 
+/// Length of the text of a large job, in bytes.
+const LARGE_TEXT_BYTES: usize = 3 << 20;
+
 /// Time between looks at the log of a replica.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -295,6 +298,46 @@
     }
 }
 
+/// Guards against jobs that fill the memory of the replicas, against the rejection of a copy of an accepted one, and
+/// against memory that is not released with a job.
+#[tokio::test]
+async fn jobs_without_memory_are_rejected_until_others_have_ended() {
+    let cluster = start().await;
+    let mut entry = cluster.connect().await;
+    let large = |id: u64| {
+        let text = "a".repeat(LARGE_TEXT_BYTES);
+        let steps = vec![Step { tasks: 1, milli_cpu: 400, ..Step::default() }];
+        Verb::Submit(Submit { id, spec: Spec { text, steps, repeat: None } })
+    };
+    let mut accepted = 0;
+    let rejected = loop {
+        let id = accepted + 1;
+        entry.send(id, "/short/", large(id), true);
+        match entry.reply().await {
+            reply if reply.outcome() == Outcome::Accepted => accepted = id,
+            reply => break reply,
+        }
+    };
+    assert_eq!(rejected.outcome(), Outcome::Rejected);
+    assert!(rejected.retry_after_ms > 0);
+    assert!(accepted as usize * LARGE_TEXT_BYTES <= MEMORY_BYTES / 10, "{accepted}");
+    entry.send(100, "/short/", large(1), true);
+    assert_eq!(entry.outcome().await, Outcome::Accepted);
+    assert!(!entry.knows(accepted + 1).await);
+    entry.send(101, "/short/", Verb::Cancel(JobRef { id: 1 }), true);
+    assert_eq!(entry.outcome().await, Outcome::Accepted);
+    let released = async {
+        for ticket in 200.. {
+            entry.send(ticket, "/short/", large(accepted + 1), true);
+            if entry.outcome().await == Outcome::Accepted {
+                return;
+            }
+            sleep(POLL_INTERVAL).await;
+        }
+    };
+    timeout(RECOVERY_TIMEOUT, released).await.expect("memory in time");
+}
+
 /// Guards against the rejection of a copy whose first request was accepted but is not applied yet.
 #[tokio::test]
 async fn copy_of_a_job_with_a_proposal_in_flight_is_not_rejected() {
--- a/crates/pond-replica/tests/support/mod.rs
+++ b/crates/pond-replica/tests/support/mod.rs
@@ -75,6 +75,9 @@
     start_settings(settings(internal, seeds, REPLICAS / 2, true), listener, disk, admitter)
 }
 
+/// Memory of the machines of the replicas, in bytes.
+pub const MEMORY_BYTES: usize = 256 << 20;
+
 /// Returns settings of a replica in a quorum that must tolerate `losses` lost replicas.
 pub fn settings(
     internal: SocketAddr,
@@ -89,7 +92,7 @@
         data_centre: "here".to_owned(),
         tolerated_losses: losses,
         max_links: 4_096,
-        memory_bytes: 256 << 20,
+        memory_bytes: MEMORY_BYTES,
         catch_up_ms: CATCH_UP.as_millis() as u64,
         timing: Timing {
             lease_ms: 1_000,
