HTTP server: the connection that stands still for longest makes room, whatever it waits with

Causes, from the client's error ("connecting timed out") and the counts: - With all connections being handled at the moment of the check, nothing could be closed, and the loop that accepts connections then waited for one to end, however many could be closed later.

The test of the former order is replaced: an older incomplete request is still closed before a newer idle connection, and answers_that_are_not_read_make_room_before_a_new_connection_does is new.

--- a/crates/pond-http/src/budget.rs
+++ b/crates/pond-http/src/budget.rs
@@ -15,9 +15,9 @@
 
 /// Memory in bytes for the connections of a process and their requests, shared by its servers.
 ///
-/// A connection or request that does not fit closes others to make room, in this order: incomplete requests, idle
-/// connections, answers that are not read. Among equals the oldest is closed first, so that a crowd that stands still
-/// does not keep out callers that make progress. Requests that are being handled are never closed.
+/// A connection or request that does not fit closes others to make room: those first that have been idle, have had an
+/// incomplete request, or have not read their answer for longest. So a crowd that stands still does not keep out
+/// callers that make progress, whatever it waits with. Requests that are being handled are never closed.
 #[derive(Clone, Debug)]
 pub struct Budget {
     ledger: Arc<Mutex<Ledger>>,
@@ -40,8 +40,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Full;
 
-/// What a connection does. Connections in earlier phases are closed before those in later ones.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+/// What a connection does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
     /// Part of a request has arrived.
     Receiving,
@@ -57,7 +57,7 @@
 struct Entry {
     server: u64,
     phase: Phase,
-    /// Number of the event that began the phase, or the request if one is in progress.
+    /// Number of the event that began the phase.
     since: u64,
     bytes: usize,
     /// Bytes of the current request that were read from the connection.
@@ -71,8 +71,8 @@
     usage: Usage,
     next_number: u64,
     entries: BTreeMap<u64, Entry>,
-    /// Phase, since and key of each entry.
-    order: BTreeSet<(Phase, u64, u64)>,
+    /// Start of the phase and key of each entry that may be closed.
+    closable: BTreeSet<(u64, u64)>,
 }
 
 impl Budget {
@@ -83,7 +83,7 @@
             usage: Usage::default(),
             next_number: 0,
             entries: BTreeMap::new(),
-            order: BTreeSet::new(),
+            closable: BTreeSet::new(),
         };
         Budget { ledger: Arc::new(Mutex::new(ledger)) }
     }
@@ -132,7 +132,7 @@
         let (phase, bytes) = (Phase::Idle, CONNECTION_BYTES);
         self.entries
             .insert(key, Entry { server, phase, since: key, bytes, received: 0, reclaimed });
-        self.order.insert((phase, key, key));
+        self.closable.insert((key, key));
         self.usage.connections += 1;
         self.usage.bytes += bytes;
         Ok(key)
@@ -156,11 +156,12 @@
         Err(Full)
     }
 
-    /// Closes the first connection in the order that `may_close` selects.
+    /// Closes the connection that has stood still for longest among those that `may_close` selects.
     fn reclaim(&mut self, may_close: impl Fn(u64, &Entry) -> bool) -> bool {
-        let closable = self.order.iter().take_while(|(phase, ..)| *phase != Phase::Handling);
         let selects = |key: &u64| self.entries.get(key).is_some_and(|entry| may_close(*key, entry));
-        let Some(key) = closable.map(|(.., key)| *key).find(selects) else { return false };
+        let Some(key) = self.closable.iter().map(|(_, key)| *key).find(selects) else {
+            return false;
+        };
         if let Some(entry) = self.remove(key) {
             entry.reclaimed.stop();
             self.usage.reclaimed += 1;
@@ -170,18 +171,20 @@
 
     fn remove(&mut self, key: u64) -> Option<Entry> {
         let entry = self.entries.remove(&key)?;
-        self.order.remove(&(entry.phase, entry.since, key));
+        self.closable.remove(&(entry.since, key));
         self.usage.connections -= 1;
         self.usage.bytes -= entry.bytes;
         Some(entry)
     }
 
-    fn set_phase(&mut self, key: u64, phase: Phase, since: Option<u64>) {
+    fn set_phase(&mut self, key: u64, phase: Phase) {
         let now = self.next_number();
         let Some(entry) = self.entries.get_mut(&key) else { return };
-        self.order.remove(&(entry.phase, entry.since, key));
-        (entry.phase, entry.since) = (phase, since.unwrap_or(now));
-        self.order.insert((phase, entry.since, key));
+        self.closable.remove(&(entry.since, key));
+        (entry.phase, entry.since) = (phase, now);
+        if phase != Phase::Handling {
+            self.closable.insert((now, key));
+        }
     }
 
     fn set_bytes(&mut self, key: u64, bytes: usize) {
@@ -206,7 +209,7 @@
         entry.received += bytes;
         let grows = before <= READ_BUFFER_BYTES && entry.received > READ_BUFFER_BYTES;
         if entry.phase == Phase::Idle {
-            self.set_phase(key, Phase::Receiving, None);
+            self.set_phase(key, Phase::Receiving);
         }
         // The read buffer grows with the request.
         if grows { self.reserve(key, max_head_bytes) } else { Ok(()) }
@@ -243,14 +246,14 @@
 
     /// Records that the request is complete.
     pub fn handling(&self) {
-        self.budget.lock().set_phase(self.key, Phase::Handling, None);
+        self.budget.lock().set_phase(self.key, Phase::Handling);
     }
 
     /// Records that the request has an answer with a body of `bytes` bytes, which has a place even if nothing can be
     /// closed.
     pub fn answering(&self, bytes: usize) {
         let mut ledger = self.budget.lock();
-        ledger.set_phase(self.key, Phase::Answering, None);
+        ledger.set_phase(self.key, Phase::Answering);
         ledger.set_bytes(self.key, CONNECTION_BYTES);
         ledger.make_room(self.key, bytes);
         ledger.set_bytes(self.key, CONNECTION_BYTES + bytes);
@@ -262,7 +265,7 @@
         let Some(entry) = ledger.entries.get_mut(&self.key) else { return };
         if entry.phase == Phase::Answering {
             entry.received = 0;
-            ledger.set_phase(self.key, Phase::Idle, None);
+            ledger.set_phase(self.key, Phase::Idle);
             ledger.set_bytes(self.key, CONNECTION_BYTES);
         }
     }
@@ -270,7 +273,7 @@
     /// Records that the rest of a refused request is read and discarded.
     pub fn discarding(&self) {
         let mut ledger = self.budget.lock();
-        ledger.set_phase(self.key, Phase::Receiving, None);
+        ledger.set_phase(self.key, Phase::Receiving);
         ledger.set_bytes(self.key, CONNECTION_BYTES);
     }
 
--- a/crates/pond-http/src/server.rs
+++ b/crates/pond-http/src/server.rs
@@ -10,6 +10,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::task::yield_now;
+use tokio::time::timeout;
 
 use crate::connection::{self, Shared};
 use crate::{Budget, Call, Limits, Refused, Reply, Stop};
@@ -17,6 +18,9 @@
 /// Pause after a failure to accept a connection, such as a lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Interval at which a new connection tries to close another one, while none can be closed.
+const RECLAIM_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Value of `retry-after` for requests without memory, in seconds.
 const RETRY_AFTER_S: HeaderValue = HeaderValue::from_static("1");
 
@@ -113,11 +117,16 @@
             // Requests that have arrived completely are read first, so that none of them is closed.
             yield_now().await;
         }
-        if self.permits.available_permits() == 0 {
-            // If none can be closed, the connection waits for one to end.
-            self.budget.reclaim(self.key);
+        loop {
+            if self.permits.available_permits() == 0 {
+                self.budget.reclaim(self.key);
+            }
+            // All requests may be being handled: then none can be closed until one is answered.
+            let permit = self.permits.clone().acquire_owned();
+            if let Ok(permit) = timeout(RECLAIM_INTERVAL, permit).await {
+                return permit.ok();
+            }
         }
-        self.permits.clone().acquire_owned().await.ok()
     }
 }
 
--- a/crates/pond-http/tests/crowded.rs
+++ b/crates/pond-http/tests/crowded.rs
@@ -14,6 +14,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
+use tokio::task::yield_now;
+use tokio::time::timeout;
 
 /// Longest time for an answer. It only ends a test whose server hangs.
 const MAX_WAIT: Duration = Duration::from_secs(60);
@@ -186,19 +188,51 @@
 }
 
 #[tokio::test]
-async fn connection_above_the_limit_closes_an_incomplete_request_before_an_idle_connection() {
+async fn connection_above_the_limit_closes_the_one_that_has_stood_still_for_longest() {
     let server = Server::start(2).await;
     let client = Client::new();
     let address = server.address.to_string();
     let call = || Call::new(Method::POST, "/", "a");
-    client.call(&address, call(), MAX_WAIT).await.expect("an answer");
     let incomplete = server.send(BODY_BYTES, b"a").await;
     server.wait_for_bodies(1).await;
+    client.call(&address, call(), MAX_WAIT).await.expect("an answer");
     server.answers(b"b".to_vec()).await;
     read_all(incomplete).await;
-    let opened = server.budget.usage().reclaimed;
+    let reclaimed = server.budget.usage().reclaimed;
     client.call(&address, call(), MAX_WAIT).await.expect("an answer");
-    assert_eq!(server.budget.usage().reclaimed, opened);
+    assert_eq!(server.budget.usage().reclaimed, reclaimed);
+}
+
+#[tokio::test]
+async fn answers_that_are_not_read_make_room_before_a_new_connection_does() {
+    let server = Server::start(4).await;
+    let mut unread = Vec::new();
+    // Each has more answers than the system buffers.
+    let request = format!("POST / HTTP/1.1\r\nhost: a\r\ncontent-length: {BODY_BYTES}\r\n\r\n");
+    for _ in 0..4 {
+        let mut stream = TcpStream::connect(server.address).await.expect("connects");
+        for _ in 0..64 {
+            let body = [request.as_bytes(), &vec![b'a'; BODY_BYTES]].concat();
+            let written = timeout(Duration::from_millis(50), stream.write_all(&body)).await;
+            if written.is_err() {
+                break;
+            }
+        }
+        unread.push(stream);
+    }
+    // It is accepted before its request arrives, and others that also read nothing come after it.
+    let mut ordinary = TcpStream::connect(server.address).await.expect("connects");
+    for _ in 0..3 {
+        unread.push(TcpStream::connect(server.address).await.expect("connects"));
+        yield_now().await;
+    }
+    ordinary
+        .write_all(b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\n\r\nb")
+        .await
+        .expect("writes");
+    let mut answer = [0; 12];
+    ordinary.read_exact(&mut answer).await.expect("an answer");
+    assert_eq!(&answer, b"HTTP/1.1 200");
 }
 
 #[tokio::test]
--- a/tests/clients/main.rs
+++ b/tests/clients/main.rs
@@ -130,7 +130,7 @@
     fn call_node(&self, node: &Node, listener: Listener, call: Call) -> Option<StatusCode> {
         let address = node.address(listener).to_string();
         let reply = self.runtime.block_on(Client::new().call(&address, call, MAX_WAIT));
-        reply.ok().map(|reply| reply.status)
+        reply.inspect_err(|error| println!("{error}")).ok().map(|reply| reply.status)
     }
 
     /// Sends an ordinary request to the entry.
