--- a/review/world3/world.py
+++ b/review/world3/world.py
@@ -226,7 +226,11 @@
 
             def do_POST(self):
                 body = json.loads(self.rfile.read(int(self.headers.get("Content-Length", 0))) or b"{}")
+                executor.calls.connection = self.connection
                 status, answer = executor.answer(self.path, self.headers.get("Target-Instance"), body)
+                if status is None:
+                    self.close_connection = True
+                    return
                 data = json.dumps(answer).encode() if answer is not None else b""
                 self.send_response(status)
                 self.send_header("Content-Type", "application/json")
@@ -248,6 +252,8 @@
             request_queue_size = 128
 
         self.connections = []
+        # The connection of the call that a thread answers.
+        self.calls = threading.local()
         self.server = Server((self.agent.ip, APP), Handler)
         original = self.server.get_request
 
