Review case 9: a done task runs again after its executor has left

An executor that drains leaves once its last task is done. The answer that lists the end is overtaken by the goodbye and dropped by the agent; the task is started again on another executor and its work is done twice (TWICE).

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -9,7 +9,7 @@
 import sys
 
 assert sys.version_info >= (3, 11), "the stand-ins need Python 3.11 or later"
-names = ["world3/world.py"] + [f"{n}/case.py" for n in (10, 11, 12)]
+names = ["world3/world.py"] + [f"{n}/case.py" for n in range(9, 13)]
 for name in names:
     ast.parse(pathlib.Path(name).read_text(), name)
 print(f"{len(names)} files can be loaded")
