--- a/review/world3/world.py
+++ b/review/world3/world.py
@@ -16,6 +16,7 @@
 import tempfile
 import threading
 import time
+import traceback
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
@@ -513,8 +514,8 @@
 class World:
     """A deployment: control replicas, entries, and agents with an executor each."""
 
-    def __init__(self, folder, controls=3, entries=2, agents=3):
-        self.record = Record(os.path.join(folder, "record.txt"))
+    def __init__(self, record, controls=3, entries=2, agents=3):
+        self.record = Record(record)
         self.folder = tempfile.mkdtemp(prefix="pondbay-review-")
         self.network = free_network()
         self.bootstrap = True
@@ -627,15 +628,18 @@
 
 
 def main(folder, case, **size):
-    """Runs a case: case(world, trouble) returns the list of breaks. Exits with 0, 1 or 2."""
+    """Runs a case: case(world, trouble) returns the list of breaks. Exits with 1 if the rule was broken, 0 if
+    it held, and 2 if the case could not run, also after an error of a stand-in."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    world = World(folder, **size)
+    record = os.environ.get("RECORD", os.path.join(folder, "record.txt"))
+    code, world = CANNOT_RUN, None
     stop = lambda *_: sys.exit(CANNOT_RUN)
     signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
     signal.signal(signal.SIGALRM, stop)
     signal.alarm(115)
-    code = CANNOT_RUN
     try:
+        world = World(record, **size)
         world.record.write(f"trouble: {trouble}")
         world.start()
         breaks = case(world, trouble)
@@ -644,11 +648,21 @@
             print(line)
         code = BROKEN if breaks else HELD
     except CannotRun as error:
-        world.record.write(f"cannot run: {error}")
         print(f"cannot run: {error}")
+        if world is not None:
+            world.record.write(f"cannot run: {error}")
+    except BaseException:
+        text = traceback.format_exc()
+        print(text)
+        if world is not None:
+            world.record.write(f"cannot run: {text.splitlines()[-1]}")
     finally:
-        if os.environ.get("KEEP"):
-            shutil.copytree(world.folder, os.environ["KEEP"], dirs_exist_ok=True)
-        world.end()
-        world.record.write(f"exit {code}")
-    os._exit(code)
+        try:
+            if world is not None:
+                if os.environ.get("KEEP"):
+                    shutil.copytree(world.folder, os.environ["KEEP"], dirs_exist_ok=True)
+                world.end()
+                world.record.write(f"exit {code}")
+        finally:
+            sys.stdout.flush()
+            os._exit(code)
