Accepted jobs follow the configuration in force

Cause: `State::submit` copied the fields of the queue into the job, and `State::configure` replaced the configuration only. Placement compares workers with the pool of the job. Ruled out: a loss that is not noticed (the unit test applies it), a configuration that is not in force (new jobs ran in the new pool).

Change: a job keeps the host and path that it was submitted to. Each new configuration assigns the jobs to its queues by them, and the jobs take over all that the queue says: pool, priority, attempts, advice, target. Placed runs stay where they are; jobs of a removed queue keep their fields. As every path reads the fields of the job, a single update reaches placement, gangs, advice and admission alike.

--- a/crates/pond-job/src/change.rs
+++ b/crates/pond-job/src/change.rs
@@ -136,10 +136,27 @@
     NoJob,
     /// These runs were accepted.
     Started(Vec<RunName>),
+    /// A configuration is in force that changes what the previous one said about accepted jobs.
+    Configured {
+        /// Number of jobs that have another queue or pool now.
+        reassigned: usize,
+        /// Jobs that have ended because the configuration leaves them no attempts.
+        ended: Vec<(u64, Phase)>,
+    },
     /// The ends were applied; these jobs have ended.
     Ended(Vec<(u64, Phase)>),
 }
 
+impl Reply {
+    /// Returns the jobs that have ended by the change.
+    pub fn ended(&self) -> &[(u64, Phase)] {
+        match self {
+            Reply::Ended(ended) | Reply::Configured { ended, .. } => ended,
+            _ => &[],
+        }
+    }
+}
+
 impl Change {
     /// Returns the kind as a label for metrics.
     pub fn kind(&self) -> &'static str {
--- a/crates/pond-job/src/configuration.rs
+++ b/crates/pond-job/src/configuration.rs
@@ -46,6 +46,22 @@
     pub advice: Option<Advice>,
 }
 
+/// What identifies a queue across configurations: names may change, or pass to another queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct QueueKey<'a> {
+    /// The host of callers' requests.
+    pub host: &'a str,
+    /// Prefix of the path of callers' requests.
+    pub prefix: &'a str,
+}
+
+impl Queue {
+    /// Returns the key of the queue.
+    pub fn key(&self) -> QueueKey<'_> {
+        QueueKey { host: &self.host, prefix: &self.prefix }
+    }
+}
+
 /// How long an external adviser takes to decide which workers may run a step, and for how long its answer holds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Advice {
@@ -148,6 +164,11 @@
         self.queues.iter().filter(matches).max_by_key(|queue| queue.prefix.len())
     }
 
+    /// Returns the queue with a key.
+    pub fn queue_at(&self, key: QueueKey<'_>) -> Option<&Queue> {
+        self.queues.iter().find(|queue| queue.key() == key)
+    }
+
     /// Returns the queue with a name.
     pub fn queue(&self, name: &str) -> Option<&Queue> {
         self.queues.iter().find(|queue| queue.name == name)
--- a/crates/pond-job/src/job.rs
+++ b/crates/pond-job/src/job.rs
@@ -4,17 +4,18 @@
 use pond_proto::job::{Phase, RunName, Spec, Step, TaskName};
 use serde::{Deserialize, Serialize};
 
-use crate::configuration::Advice;
+use crate::configuration::{Advice, Queue, QueueKey};
+use crate::origin::Origin;
 use crate::suspicion::Suspicion;
 
 /// An accepted job.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Job {
-    /// The queue that the job was submitted to.
+    /// Name of the queue that the job belongs to.
     pub queue: String,
     /// The pool that runs the job.
     pub pool: String,
-    /// Priority of the queue when the job was submitted; zero is the highest.
+    /// Priority of the queue; zero is the highest.
     pub priority: u32,
     /// Number of failed runs of one task after which the job has failed.
     #[serde(rename = "attempts")]
@@ -43,6 +44,10 @@
     /// lack this field.)
     #[serde(default)]
     pub begun: bool,
+    /// Where the job was submitted; `None` once the job has ended and nothing of it runs, or if an earlier version
+    /// accepted it and no queue has the name of its queue. (Snapshots hold it after the state.)
+    #[serde(skip)]
+    pub origin: Option<Origin>,
 }
 
 /// A task of a job.
@@ -89,6 +94,56 @@
 }
 
 impl Job {
+    /// Creates a job that was submitted to a queue.
+    pub fn new(origin: Origin, queue: &Queue, spec: Spec, submitted_at: Millis) -> Job {
+        let repetitions = spec.repeat.map_or(1, |repeat| repeat.times as usize);
+        let new_tasks = |tasks: u32| vec![Task::default(); tasks as usize];
+        let steps: Vec<Vec<Task>> = spec.steps.iter().map(|step| new_tasks(step.tasks)).collect();
+        let unfinished = repetitions * steps.iter().map(Vec::len).sum::<usize>();
+        let mut job = Job {
+            queue: String::new(),
+            pool: String::new(),
+            priority: 0,
+            max_attempts: 0,
+            advice: None,
+            spec,
+            submitted_at,
+            target_at: submitted_at,
+            phase: Phase::Queued,
+            repetitions: vec![steps; repetitions],
+            unfinished,
+            placed: 0,
+            begun: false,
+            origin: Some(origin),
+        };
+        job.assign(queue);
+        job
+    }
+
+    /// Assigns the job to a queue that its host and path belong to, and takes over all that the queue says about its
+    /// jobs.
+    pub fn assign(&mut self, queue: &Queue) {
+        let stretched_ms = critical_path_ms(&self.spec.steps, |_, step| step.estimate_ms)
+            .saturating_mul(queue.stretch_permille)
+            / 1000;
+        self.queue.clone_from(&queue.name);
+        self.pool.clone_from(&queue.pool);
+        self.priority = queue.priority;
+        self.max_attempts = queue.max_attempts.max(1);
+        self.advice = queue.advice;
+        self.target_at = self.submitted_at + stretched_ms.saturating_add(queue.target_ms);
+        if let Some(origin) = &mut self.origin {
+            origin.assign(queue);
+        }
+    }
+
+    /// Returns the key of the queue that the job belongs to. A job of unknown origin has one of its own, by the name of
+    /// its queue.
+    pub fn queue_key(&self) -> QueueKey<'_> {
+        let unknown = QueueKey { host: "", prefix: &self.queue };
+        self.origin.as_ref().map_or(unknown, Origin::key)
+    }
+
     /// Returns whether the job runs once and all its tasks reserve processors and end by themselves.
     pub fn is_short(&self) -> bool {
         is_short(&self.spec)
--- a/crates/pond-job/src/lead/mod.rs
+++ b/crates/pond-job/src/lead/mod.rs
@@ -327,12 +327,10 @@
             }
             _ => {}
         }
-        if let Reply::Ended(jobs) = reply {
-            for (id, phase) in jobs {
-                self.check_forecast(now, *id, *phase);
-                self.ended.insert(*id, now);
-                self.touch_workers_of(state, *id);
-            }
+        for (id, phase) in reply.ended() {
+            self.check_forecast(now, *id, *phase);
+            self.ended.insert(*id, now);
+            self.touch_workers_of(state, *id);
         }
     }
 
--- a/crates/pond-job/src/lib.rs
+++ b/crates/pond-job/src/lib.rs
@@ -9,11 +9,12 @@
 mod evidence;
 mod job;
 mod lead;
+mod origin;
 mod state;
 mod suspicion;
 
 pub use change::{Change, End, Reply, Start};
-pub use configuration::{Advice, Configuration, Invalid, Limits, Pool, Queue};
+pub use configuration::{Advice, Configuration, Invalid, Limits, Pool, Queue, QueueKey};
 pub use estimates::Estimates;
 pub use evidence::{Evidence, Exposure, Loss};
 pub use job::{Job, Task};
@@ -22,5 +23,6 @@
     Output, Permit, Posterior, Prospect, Question, Reason, Rejection, ShareFigures, Speeds,
     StepName, Timing, Transition, Weights, Work,
 };
+pub use origin::Origin;
 pub use state::State;
 pub use suspicion::{BLAME_WINDOW_MS, Blame, STARTUP_WINDOW_MS, Suspicion, Verdict};
--- a/crates/pond-job/src/state/mod.rs
+++ b/crates/pond-job/src/state/mod.rs
@@ -1,7 +1,9 @@
 //! The replicated state: the same changes in the same order give the same state on every replica.
 
 mod evacuation;
+mod queues;
 mod runs;
+mod snapshot;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -10,10 +12,11 @@
 use serde::{Deserialize, Serialize};
 
 use crate::change::{Change, End, Reply};
-use crate::configuration::Configuration;
+use crate::configuration::{Configuration, Queue};
 use crate::estimates::Estimates;
 use crate::evidence::Evidence;
-use crate::job::{Job, Task, critical_path_ms};
+use crate::job::{Job, Task};
+use crate::origin::Origin;
 use crate::suspicion::Suspicion;
 
 /// The state that the control replicas agree on.
@@ -66,6 +69,11 @@
         self.jobs.get(&id)
     }
 
+    /// Returns the queue that a job belongs to, if it is configured.
+    pub fn queue_of(&self, job: &Job) -> Option<&Queue> {
+        self.configuration.as_ref()?.queue_at(job.queue_key())
+    }
+
     /// Returns the step of a task.
     pub fn step(&self, task: TaskName) -> Option<&Step> {
         self.job(task.job)?.step(task)
@@ -163,22 +171,6 @@
         self.active().filter(waits).count() as u64
     }
 
-    /// Encodes the state for a snapshot.
-    ///
-    /// # Errors
-    /// Returns the encoder's message; encoding these types is not expected to fail.
-    pub fn encode(&self) -> Result<Vec<u8>, String> {
-        rmp_serde::to_vec(self).map_err(|error| error.to_string())
-    }
-
-    /// Decodes the state from a snapshot.
-    ///
-    /// # Errors
-    /// Returns the decoder's message if the bytes are malformed.
-    pub fn decode(bytes: &[u8]) -> Result<State, String> {
-        rmp_serde::from_slice(bytes).map_err(|error| error.to_string())
-    }
-
     /// Applies a change and returns its outcome.
     pub fn apply(&mut self, change: Change) -> Reply {
         match change {
@@ -204,43 +196,13 @@
         }
     }
 
-    fn configure(&mut self, configuration: Configuration) -> Reply {
-        let current = self.configuration.as_ref().map(|current| current.version);
-        if current.is_none_or(|current| configuration.version > current) {
-            self.configuration = Some(configuration);
-        }
-        Reply::Accepted
-    }
-
     fn submit(&mut self, host: &str, path: &str, id: u64, spec: Spec, at: Millis) -> Reply {
         if self.jobs.contains_key(&id) {
             return Reply::Accepted;
         }
         let Some(configuration) = &self.configuration else { return Reply::NotConfigured };
         let Some(queue) = configuration.queue_for(host, path) else { return Reply::NoQueue };
-        let repetitions = spec.repeat.map_or(1, |repeat| repeat.times as usize);
-        let new_tasks = |tasks: u32| vec![Task::default(); tasks as usize];
-        let steps: Vec<Vec<Task>> = spec.steps.iter().map(|step| new_tasks(step.tasks)).collect();
-        let unfinished = repetitions * steps.iter().map(Vec::len).sum::<usize>();
-        let stretched_ms = critical_path_ms(&spec.steps, |_, step| step.estimate_ms)
-            .saturating_mul(queue.stretch_permille)
-            / 1000;
-        let span_ms = stretched_ms.saturating_add(queue.target_ms);
-        let job = Job {
-            queue: queue.name.clone(),
-            pool: queue.pool.clone(),
-            priority: queue.priority,
-            max_attempts: queue.max_attempts.max(1),
-            advice: queue.advice,
-            spec,
-            submitted_at: at,
-            target_at: at + span_ms,
-            phase: Phase::Queued,
-            repetitions: vec![steps; repetitions],
-            unfinished,
-            placed: 0,
-            begun: false,
-        };
+        let job = Job::new(Origin::new(host, path, queue), queue, spec, at);
         self.jobs.insert(id, job);
         self.active.insert(id);
         self.update_phase(id);
@@ -273,6 +235,7 @@
             // From now on only the phase is queried.
             job.repetitions = Vec::new();
             job.spec = Spec::default();
+            job.origin = None;
         }
         Some((id, job.phase))
     }
@@ -289,7 +252,11 @@
 
     /// Returns the memory that the unfinished jobs take, in bytes.
     pub fn jobs_memory_bytes(&self) -> usize {
-        self.active().map(|(_, job)| State::memory_bytes(&job.spec)).sum()
+        let memory_bytes = |(_, job): (u64, &Job)| {
+            let origin_bytes = job.origin.as_ref().map_or(0, Origin::memory_bytes);
+            State::memory_bytes(&job.spec) + origin_bytes
+        };
+        self.active().map(memory_bytes).sum()
     }
 
     /// Returns the memory that a job with this specification takes until it has ended, in bytes.
--- a/crates/pond-job/src/state/runs.rs
+++ b/crates/pond-job/src/state/runs.rs
@@ -84,7 +84,7 @@
 
     /// Gives a task without a placed run the result that an earlier run has left it with: it is done, or it has used
     /// up its attempts and its job has failed.
-    fn settle_task(&mut self, name: TaskName) {
+    pub(super) fn settle_task(&mut self, name: TaskName) {
         let Some(job) = self.jobs.get_mut(&name.job) else { return };
         let exhausted = job.is_exhausted(name);
         let Some(task) = job.task_mut(name).filter(|task| task.is_pending()) else { return };
--- a/crates/pond-job/tests/support/mod.rs
+++ b/crates/pond-job/tests/support/mod.rs
@@ -73,6 +73,7 @@
 pub struct Vm {
     pub link: u64,
     pub agent: String,
+    pub pool: String,
     pub clock_ms: u64,
     pub room: u32,
     pub labels: Vec<String>,
@@ -140,11 +141,20 @@
         self
     }
 
+    /// Adds a worker to a pool.
+    pub fn with_vm_in_pool(mut self, pool: &str, incarnation: &str, room: u32) -> Harness {
+        self.add_vm(incarnation, room);
+        self.vms.get_mut(incarnation).expect("the worker exists").pool = pool.to_owned();
+        self.report(incarnation);
+        self
+    }
+
     /// Adds an incarnation of the worker of an agent.
     pub fn add_incarnation(&mut self, agent: &str, incarnation: &str, room: u32) {
         let vm = Vm {
             link: 1_000 + self.vms.len() as u64,
             agent: agent.to_owned(),
+            pool: "vms".to_owned(),
             clock_ms: 5_000,
             room,
             labels: Vec::new(),
@@ -214,7 +224,7 @@
         let Some(vm) = self.vms.get(incarnation) else { return };
         let report = Report {
             worker: incarnation.to_owned(),
-            pool: "vms".to_owned(),
+            pool: vm.pool.clone(),
             milli_cpu: vm.room,
             memory_mib: 100_000,
             labels: vm.labels.clone(),
--- a/crates/pond-replica/src/admission.rs
+++ b/crates/pond-replica/src/admission.rs
@@ -45,12 +45,12 @@
         JobMemory { max_bytes, bytes: 0, counted_at: None }
     }
 
-    /// Reserves memory for a new job. Returns false if there is none.
-    pub(crate) fn reserve(&mut self, now: Millis, state: &State, spec: &Spec) -> bool {
+    /// Reserves memory for a new job, in bytes. Returns false if there is none.
+    pub(crate) fn reserve(&mut self, now: Millis, state: &State, job_bytes: usize) -> bool {
         if self.counted_at.is_none_or(|at| now.since(at) >= COUNT_INTERVAL_MS) {
             (self.bytes, self.counted_at) = (state.jobs_memory_bytes(), Some(now));
         }
-        let needed = self.bytes.saturating_add(State::memory_bytes(spec));
+        let needed = self.bytes.saturating_add(job_bytes);
         let fits = needed <= self.max_bytes;
         if fits {
             self.bytes = needed;
--- a/crates/pond-replica/src/audit.rs
+++ b/crates/pond-replica/src/audit.rs
@@ -105,8 +105,12 @@
     pub(crate) fn log_change(&self, change: &Change, reply: &Reply) {
         match change {
             Change::Configure(configuration) => {
+                let reassigned = match reply {
+                    Reply::Configured { reassigned, .. } => *reassigned,
+                    _ => 0,
+                };
                 event!(self.log, CONFIGURED, "version" => configuration.version,
-                    "queues" => configuration.queues.len());
+                    "queues" => configuration.queues.len(), "reassigned_jobs" => reassigned);
             }
             Change::Submit { id, spec, .. } => {
                 let queue = self.state.job(*id).map_or(String::new(), |job| job.queue.clone());
@@ -147,9 +151,7 @@
                 }
             }
         }
-        if let Reply::Ended(jobs) = reply {
-            self.log_ended_jobs(jobs);
-        }
+        self.log_ended_jobs(reply.ended());
     }
 
     /// Returns the names of the evacuated data centres, separated by spaces.
--- a/crates/pond-replica/src/callers.rs
+++ b/crates/pond-replica/src/callers.rs
@@ -129,7 +129,8 @@
         // A leader exists once all earlier entries of the log are applied. Until then an accepted job may
         // be missing from the state, and a copy of it must not be rejected.
         let (Some(queue), Some(leader)) = (queue, &mut self.leader) else { return Ok(wall) };
-        if !self.job_memory.reserve(now, &self.state, spec) {
+        let needed = State::memory_bytes(spec) + target.host.len() + target.path.len();
+        if !self.job_memory.reserve(now, &self.state, needed) {
             event!(self.log, JOB_REJECTED, "job" => format!("{id:016x}"),
                 "why" => "no memory for further jobs");
             self.rejections.insert(request, NO_MEMORY_RETRY_MS);
@@ -166,7 +167,10 @@
                     Reply::NoQueue => Outcome::NoQueue,
                     Reply::NotConfigured => Outcome::NotConfigured,
                     Reply::NoJob => Outcome::NoJob,
-                    Reply::Accepted | Reply::Started(_) | Reply::Ended(_) => Outcome::Accepted,
+                    Reply::Accepted
+                    | Reply::Started(_)
+                    | Reply::Ended(_)
+                    | Reply::Configured { .. } => Outcome::Accepted,
                 };
                 event!(self.log, REQUEST_ANSWERED, "job" => format!("{job:016x}"),
                     "outcome" => format!("{outcome:?}"), "applied" => self.applied);
