Jobs that reach control after their cancellation do not run

The users saw 10 and 12 of 200 jobs run on whose submission and cancellation went to two entries within 15 ms.

Cause: the leader answered a cancellation of an id that its applied state does not have at once, and nothing remembered it. Ruled out: the deadline at the entry (15 ms suffice without any stop), and a leader that answers before it has applied earlier entries (`holds_lease` excludes it).

Change: the cancellation of an unknown id goes into the log, and the id is kept as cancelled. A job that is submitted under it is kept as `cancelled` and runs nothing. Ids are kept as long as jobs that have ended, 65,536 at most; beyond that a cancellation of an unknown id gets 429 and event 645. Its log entry does not hold the path of the request. The cluster of the admission tests moves to the support module.

--- a/crates/pond-job/src/change.rs
+++ b/crates/pond-job/src/change.rs
@@ -24,7 +24,7 @@
         /// When the leader received the job, on its operators' clock.
         at: Millis,
     },
-    /// Cancels a job.
+    /// Cancels a job, or keeps its id as cancelled if there is no job yet.
     Cancel {
         /// The host that the caller named.
         host: String,
@@ -63,7 +63,7 @@
         evidence: Option<Loss>,
     },
 
-    /// Removes jobs that ended long ago.
+    /// Removes jobs that ended long ago, and ids that were cancelled long ago.
     Forget(Vec<u64>),
     /// Stores the leader's interference estimates for the next leader.
     Learned(Estimates),
@@ -132,8 +132,11 @@
     NoQueue,
     /// There is no configuration yet.
     NotConfigured,
-    /// There is no such job.
+    /// There is no such job. If the change cancels it, its id is kept, so that no job runs that is submitted under it
+    /// later.
     NoJob,
+    /// There is no such job, and its id is not kept because too many are.
+    TooManyCancelled,
     /// These runs were accepted.
     Started(Vec<RunName>),
     /// A configuration is in force that changes what the previous one said about accepted jobs.
@@ -143,7 +146,7 @@
         /// Jobs that have ended because the configuration leaves them no attempts.
         ended: Vec<(u64, Phase)>,
     },
-    /// The ends were applied; these jobs have ended.
+    /// The change was applied; these jobs have ended.
     Ended(Vec<(u64, Phase)>),
 }
 
--- a/crates/pond-job/src/job.rs
+++ b/crates/pond-job/src/job.rs
@@ -120,6 +120,13 @@
         job
     }
 
+    /// Creates a job that was cancelled before it was submitted. It has no tasks.
+    pub fn new_cancelled(queue: &Queue, submitted_at: Millis) -> Job {
+        let origin = Origin::new(&queue.host, &queue.prefix, queue);
+        let job = Job::new(origin, queue, Spec::default(), submitted_at);
+        Job { phase: Phase::Cancelled, repetitions: Vec::new(), origin: None, ..job }
+    }
+
     /// Assigns the job to a queue that its host and path belong to, and takes over all that the queue says about its
     /// jobs.
     pub fn assign(&mut self, queue: &Queue) {
--- a/crates/pond-job/src/lead/mod.rs
+++ b/crates/pond-job/src/lead/mod.rs
@@ -11,6 +11,7 @@
 mod ask;
 mod blame;
 mod cache;
+mod cancelled;
 mod candidate;
 mod capacity;
 mod cause;
@@ -59,6 +60,7 @@
 use advice::Adviser;
 use blame::Losses;
 use cache::Cache;
+use cancelled::Cancelled;
 use demand::Demand;
 use duration::Durations;
 use ends::Loss;
@@ -168,6 +170,8 @@
     checked_at: Millis,
     /// When the estimates were last proposed to the log.
     estimates_written_at: Millis,
+    /// Ids that were cancelled while no job had them.
+    cancelled: Cancelled,
     /// Ended jobs and when this replica learned of each end.
     ended: BTreeMap<u64, Millis>,
     outputs: Vec<Output>,
@@ -211,6 +215,7 @@
             cache: Cache::default(),
             checked_at: Millis(0),
             estimates_written_at: now,
+            cancelled: Cancelled::default(),
             ended: BTreeMap::new(),
             outputs: Vec::new(),
         }
@@ -283,7 +288,7 @@
                 }
             }
             Change::Submit { id, .. } => {
-                if let Some(job) = state.job(*id) {
+                if let Some(job) = state.job(*id).filter(|job| !job.phase.ended()) {
                     self.durations.record_job(job);
                     self.record_demand(now, *id, job);
                 }
@@ -318,6 +323,7 @@
             Change::Withdrawn { agent, .. } => self.touch_workers_at(agent),
             Change::Resolved { agent, .. } => self.record_resolved(state, agent),
             Change::Forget(ids) => self.ended.retain(|id, _| !ids.contains(id)),
+            Change::Cancel { id, .. } if *reply == Reply::NoJob => self.cancelled.record(now, *id),
             Change::Cancel { id, .. } => self.touch_workers_of(state, *id),
             Change::Cleared(runs) => {
                 let task = |run: &RunName| state.job(run.task.job)?.task(run.task);
@@ -432,6 +438,10 @@
             .filter(|(_, at)| now.since(**at) > retention_ms)
             .map(|(id, _)| *id)
             .collect();
+        let cancelled = self.cancelled.expired(state, now, retention_ms);
+        if !cancelled.is_empty() {
+            self.outputs.push(Output::Propose(Change::Forget(cancelled)));
+        }
         if expired.is_empty() {
             return;
         }
--- a/crates/pond-job/src/state/mod.rs
+++ b/crates/pond-job/src/state/mod.rs
@@ -47,6 +47,9 @@
     /// (Snapshots of earlier versions lack this field.)
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     withdrawn: BTreeMap<String, BTreeSet<RunName>>,
+    /// Ids that were cancelled while no job had them. (Snapshots hold them after the state.)
+    #[serde(skip)]
+    cancelled: BTreeSet<u64>,
 }
 
 impl State {
@@ -54,6 +57,10 @@
     /// bytes, so this many take a few megabytes.
     pub const MAX_TASKS_PER_JOB: usize = 20_000;
 
+    /// Maximum number of ids that are kept as cancelled while no job has them: more than 500 a second with a retention
+    /// period of two minutes, in a few megabytes.
+    pub const MAX_CANCELLED_IDS: usize = 1 << 16;
+
     /// Creates an empty state.
     pub fn new() -> State {
         State::default()
@@ -74,6 +81,16 @@
         self.configuration.as_ref()?.queue_at(job.queue_key())
     }
 
+    /// Returns whether an id was cancelled while no job had it.
+    pub fn is_cancelled(&self, id: u64) -> bool {
+        self.cancelled.contains(&id)
+    }
+
+    /// Returns the ids that were cancelled while no job had them.
+    pub fn cancelled_ids(&self) -> impl ExactSizeIterator<Item = u64> + '_ {
+        self.cancelled.iter().copied()
+    }
+
     /// Returns the step of a task.
     pub fn step(&self, task: TaskName) -> Option<&Step> {
         self.job(task.job)?.step(task)
@@ -202,6 +219,10 @@
         }
         let Some(configuration) = &self.configuration else { return Reply::NotConfigured };
         let Some(queue) = configuration.queue_for(host, path) else { return Reply::NoQueue };
+        if self.cancelled.remove(&id) {
+            self.jobs.insert(id, Job::new_cancelled(queue, at));
+            return Reply::Ended(vec![(id, Phase::Cancelled)]);
+        }
         let job = Job::new(Origin::new(host, path, queue), queue, spec, at);
         self.jobs.insert(id, job);
         self.active.insert(id);
@@ -214,7 +235,7 @@
         if configuration.queue_for(host, path).is_none() {
             return Reply::NoQueue;
         }
-        let Some(job) = self.jobs.get_mut(&id) else { return Reply::NoJob };
+        let Some(job) = self.jobs.get_mut(&id) else { return self.cancel_unknown(id) };
         if !job.phase.ended() {
             job.phase = Phase::Cancelled;
         }
@@ -222,6 +243,16 @@
         Reply::Accepted
     }
 
+    /// Records the cancellation of an id that no job has. A job that is on its way from its caller, or in the log after
+    /// this change, must not run.
+    fn cancel_unknown(&mut self, id: u64) -> Reply {
+        if self.cancelled.len() >= State::MAX_CANCELLED_IDS && !self.cancelled.contains(&id) {
+            return Reply::TooManyCancelled;
+        }
+        self.cancelled.insert(id);
+        Reply::NoJob
+    }
+
     /// Updates a job's phase; returns the job and its phase if it has ended.
     fn update_phase(&mut self, id: u64) -> Option<(u64, Phase)> {
         let job = self.jobs.get_mut(&id)?;
@@ -242,6 +273,7 @@
 
     fn forget(&mut self, ids: &[u64]) -> Reply {
         for id in ids {
+            self.cancelled.remove(id);
             let ended = self.jobs.get(id).is_some_and(|job| job.phase.ended());
             if ended && !self.active.contains(id) {
                 self.jobs.remove(id);
--- a/crates/pond-log/src/events.rs
+++ b/crates/pond-log/src/events.rs
@@ -227,6 +227,9 @@
         "find the callers that send incomplete requests; add entries if all of them are ordinary ones";
     REQUEST_REFUSED = 644, Info, "request was refused before it was complete and has not run",
         "`why` is `TooLarge`, `TooSlow`, `CutOff` (by the caller) or `NoMemory`: see 643";
+    CANCELLATION_REJECTED = 645, Warning,
+        "cancellation of an unknown job was not kept because too many are",
+        "nothing: its caller repeats it later; if this persists, find who cancels unknown jobs";
     ADVISED = 619, Info, "adviser answered which workers may run a step", "nothing";
 }
 
--- a/crates/pond-proto/src/fleet.rs
+++ b/crates/pond-proto/src/fleet.rs
@@ -93,7 +93,8 @@
     NotLeader = 6,
     /// The job's description is invalid.
     Invalid = 7,
-    /// The job could not be done in time; it has not run and will not run.
+    /// The job could not be done in time; it has not run and will not run. Or the cancellation of a job that is not
+    /// known could not be kept.
     Rejected = 8,
 }
 
@@ -112,7 +113,7 @@
     /// Number of waiting jobs, if the outcome is [`Outcome::Counted`].
     #[prost(uint64, tag = "4")]
     pub count: u64,
-    /// Time after which to submit a job again, in milliseconds, if the outcome is
+    /// Time after which to send the request again, in milliseconds, if the outcome is
     /// [`Outcome::Rejected`].
     #[prost(uint64, tag = "5")]
     pub retry_after_ms: u64,
--- a/crates/pond-replica/src/callers.rs
+++ b/crates/pond-replica/src/callers.rs
@@ -42,7 +42,10 @@
                 let origin = Origin { link, ticket, understands_rejection };
                 self.submit(now, origin, request.target, submit);
             }
-            Verb::Cancel(job) => self.cancel(now, link, ticket, request.target, job.id),
+            Verb::Cancel(job) => {
+                let origin = Origin { link, ticket, understands_rejection };
+                self.cancel(now, origin, request.target, job.id);
+            }
             Verb::Look(job) => {
                 let known = self.state.job(job.id).map(|job| job.phase);
                 let answer = match known {
@@ -91,6 +94,13 @@
             self.send_answer(link, answer(ticket, Outcome::Invalid));
             return;
         }
+        if self.state.is_cancelled(id) {
+            // Nothing of the job is needed: it is kept as a cancelled one.
+            let (Target { host, path }, spec) = (target, Spec::default());
+            let change = Change::Submit { host, path, id, spec, at: self.wall_time() };
+            self.propose(now, &change, Waiter::Entry { link, ticket, job: id });
+            return;
+        }
         match self.admit(now, origin, &target, id, &spec) {
             Ok(at) => {
                 let change = Change::Submit { host: target.host, path: target.path, id, spec, at };
@@ -148,9 +158,10 @@
         }
     }
 
-    fn cancel(&mut self, now: Millis, link: LinkKey, ticket: u64, target: Target, id: u64) {
+    fn cancel(&mut self, now: Millis, origin: Origin, target: Target, id: u64) {
+        let Origin { link, ticket, .. } = origin;
         match self.state.job(id).map(|job| job.phase) {
-            None => self.send_answer(link, answer(ticket, Outcome::NoJob)),
+            None => self.cancel_unknown(now, origin, &target, id),
             Some(Phase::Cancelled) => self.send_answer(link, answer(ticket, Outcome::Accepted)),
             Some(_) => {
                 let change = Change::Cancel { host: target.host, path: target.path, id };
@@ -159,6 +170,40 @@
         }
     }
 
+    /// Cancels an id that no job has. The job may be on its way: at another entry, or proposed and not applied yet. So
+    /// the cancellation is put into the log, where a later job finds it.
+    fn cancel_unknown(&mut self, now: Millis, origin: Origin, target: &Target, id: u64) {
+        let Origin { link, ticket, understands_rejection } = origin;
+        if self.state.is_cancelled(id) {
+            self.send_answer(link, answer(ticket, Outcome::NoJob));
+            return;
+        }
+        let configuration = self.state.configuration();
+        let queue = configuration.and_then(|active| active.queue_for(&target.host, &target.path));
+        let Some(queue) = queue else {
+            self.send_answer(link, answer(ticket, Outcome::NoQueue));
+            return;
+        };
+        if self.state.cancelled_ids().len() >= State::MAX_CANCELLED_IDS {
+            self.reject_cancellation(link, ticket, understands_rejection, id);
+            return;
+        }
+        // The path of the queue suffices, and callers cannot make it longer.
+        let change = Change::Cancel { host: queue.host.clone(), path: queue.prefix.clone(), id };
+        let waiter = Waiter::Cancellation { link, ticket, job: id, understands_rejection };
+        self.propose(now, &change, waiter);
+    }
+
+    /// Answers that the cancellation of an unknown id is not kept, and that it should be sent again later.
+    fn reject_cancellation(&self, link: LinkKey, ticket: u64, understands: bool, id: u64) {
+        event!(self.log, CANCELLATION_REJECTED, "job" => format!("{id:016x}"),
+            "kept" => self.state.cancelled_ids().len());
+        // Entries of earlier versions answer both with 503.
+        let outcome = if understands { Outcome::Rejected } else { Outcome::NotConfigured };
+        let rejected = answer(ticket, outcome);
+        self.send_answer(link, JobReply { retry_after_ms: NO_MEMORY_RETRY_MS, ..rejected });
+    }
+
     /// Reports the result of an applied change to its proposer.
     pub(crate) fn notify(&mut self, waiter: Waiter, reply: &Reply) {
         match waiter {
@@ -166,7 +211,7 @@
                 let outcome = match reply {
                     Reply::NoQueue => Outcome::NoQueue,
                     Reply::NotConfigured => Outcome::NotConfigured,
-                    Reply::NoJob => Outcome::NoJob,
+                    Reply::NoJob | Reply::TooManyCancelled => Outcome::NoJob,
                     Reply::Accepted
                     | Reply::Started(_)
                     | Reply::Ended(_)
@@ -176,6 +221,12 @@
                     "outcome" => format!("{outcome:?}"), "applied" => self.applied);
                 self.send_answer(link, answer(ticket, outcome));
             }
+            Waiter::Cancellation { link, ticket, job, understands_rejection } => match reply {
+                Reply::TooManyCancelled => {
+                    self.reject_cancellation(link, ticket, understands_rejection, job);
+                }
+                reply => self.notify(Waiter::Entry { link, ticket, job }, reply),
+            },
             Waiter::Operator(answer) => {
                 // The operator may have disconnected.
                 let _ = answer.send(Ok(()));
@@ -187,7 +238,7 @@
     /// Reports to the proposer of a change that it is certainly not in the log.
     pub(crate) fn reject(&mut self, waiter: Waiter) {
         match waiter {
-            Waiter::Entry { link, ticket, .. } => {
+            Waiter::Entry { link, ticket, .. } | Waiter::Cancellation { link, ticket, .. } => {
                 self.send_answer(link, answer(ticket, Outcome::NotLeader));
             }
             Waiter::Operator(reply) => {
--- a/crates/pond-replica/src/pending.rs
+++ b/crates/pond-replica/src/pending.rs
@@ -18,6 +18,17 @@
         /// The job that the request concerns.
         job: u64,
     },
+    /// An entry process, on behalf of a caller who cancels a job that is not known.
+    Cancellation {
+        /// The link to the entry process.
+        link: LinkKey,
+        /// The ticket that the entry process chose.
+        ticket: u64,
+        /// The job.
+        job: u64,
+        /// Whether the entry knows that requests may be rejected.
+        understands_rejection: bool,
+    },
     /// An operator who changes the configuration or the evacuations.
     Operator(oneshot::Sender<Result<(), RequestError>>),
     /// The leader, which starts runs.
--- a/crates/pond-replica/tests/support/mod.rs
+++ b/crates/pond-replica/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! Starts replicas on in-memory disks with loopback links.
 #![allow(dead_code)]
 
+pub mod cluster;
 pub mod node;
 
 use std::future::{Future, ready};
