Queues are identified by host and prefix, not by name

Where two routes exchanged their names, the counts changed sides.

Cause: jobs kept the name of their queue, and `State::waiting_jobs` compared names, while requests find their queue by host and path. Ruled out: a count of a replica without a complete state (`holds_lease` excludes it).

Since jobs take over the name of their present queue, a new name alone is counted. Names are still no identity: two queues may have one. So `QueueKey`, the host and prefix, is what counts, durations, mean work, offered load, widths and objectives go by now, kept in `QueueMap`. It is what callers use, and it changes only with the queue itself. Labels of logs and metrics stay names.

--- a/crates/pond-job/src/lead/admission/backlog.rs
+++ b/crates/pond-job/src/lead/admission/backlog.rs
@@ -130,13 +130,10 @@
     if !job.spec.steps.iter().any(counts) {
         return 0.0;
     }
-    let takes_ms = |step: &Step| durations.expected_ms(&job.queue, step);
-    let mut queues = state.configuration().into_iter().flat_map(|held| &held.queues);
-    let span_ms = queues
-        .find(|queue| queue.name == job.queue)
-        .map_or(job.target_at.since(job.submitted_at), |queue| {
-            span_ms(queue, critical_path_ms(&job.spec.steps, |_, step| takes_ms(step)))
-        });
+    let takes_ms = |step: &Step| durations.expected_ms(job.queue_key(), step);
+    let span_ms = state.queue_of(job).map_or(job.target_at.since(job.submitted_at), |queue| {
+        span_ms(queue, critical_path_ms(&job.spec.steps, |_, step| takes_ms(step)))
+    });
     let mut work = 0.0;
     for (repetition, steps) in job.repetitions.iter().enumerate() {
         let due = job.due(repetition);
--- a/crates/pond-job/src/lead/admission/mod.rs
+++ b/crates/pond-job/src/lead/admission/mod.rs
@@ -176,14 +176,14 @@
         id: u64,
         spec: &Spec,
     ) -> Admission {
-        let takes_ms = |step: &Step| self.durations.expected_ms(&queue.name, step);
+        let takes_ms = |step: &Step| self.durations.expected_ms(queue.key(), step);
         let shape = Shape::new(&spec.steps, takes_ms);
         if !is_short(spec) || shape.work() <= 0.0 {
             return Admission::Accepted { submitted_at: wall };
         }
         let rejected_at = self.admissions.attempts.first(now, id);
         if rejected_at.is_none() {
-            self.admissions.widths.record(&queue.name, shape.work());
+            self.admissions.widths.record(queue.key(), shape.work());
         }
         let submitted_at = rejected_at.unwrap_or(wall);
         let Some(inputs) = self.admission_inputs(state, now, wall, queue, &spec.steps) else {
@@ -192,7 +192,7 @@
         };
         let span_ms = span_ms(queue, shape.path_ms);
         let limit = inputs.room * span_ms.saturating_sub(shape.path_ms) as f64;
-        let widest = self.admissions.widths.widest_tenth(&queue.name, limit);
+        let widest = self.admissions.widths.widest_tenth(queue.key(), limit);
         let job = Candidate {
             judged_work: widest.max(shape.work()),
             shape,
@@ -201,7 +201,7 @@
         };
         match job.judge(&inputs) {
             Verdict::Accepted { wait_ms } => {
-                let mean = self.durations.mean_work(&queue.name);
+                let mean = self.durations.mean_work(queue.key());
                 let wide = mean.is_some_and(|mean| job.shape.work() >= WIDE_SHARE * mean);
                 let correction = self.admissions.errors.correction(now, &queue.pool, wide);
                 let forecast = Forecast {
@@ -222,8 +222,8 @@
                 // What cannot be done at all claims no share of the pool.
                 let first = self.admissions.attempts.record(now, wall, id);
                 if first && reason == Reason::Overload {
-                    let takes_ms = |step: &Step| self.durations.expected_ms(&queue.name, step);
-                    self.demand.record(now, &queue.name, &spec.steps, takes_ms);
+                    let takes_ms = |step: &Step| self.durations.expected_ms(queue.key(), step);
+                    self.demand.record(now, queue.key(), &spec.steps, takes_ms);
                 }
                 let retry_after_ms = retry::retry_after_ms(forecast_ms.saturating_sub(span_ms), id);
                 let rejection = Rejection { reason, retry_after_ms, forecast_ms, span_ms };
@@ -262,7 +262,7 @@
         }
         let Admissions { backlog, errors, capacity, .. } = &self.admissions;
         let work = |step: &Step| {
-            let expected_ms = self.durations.expected_ms(&queue.name, step);
+            let expected_ms = self.durations.expected_ms(queue.key(), step);
             f64::from(step.tasks) * f64::from(step.milli_cpu) * expected_ms as f64
         };
         let mut usable = Usable::default();
@@ -272,7 +272,7 @@
         }
         let queues = state.configuration().into_iter().flat_map(|held| &held.queues);
         let before = |other: &&Queue| other.pool == queue.pool && other.priority <= queue.priority;
-        let offered = queues.filter(before).map(|other| self.demand.milli_cpu(now, &other.name));
+        let offered = queues.filter(before).map(|other| self.demand.milli_cpu(now, other.key()));
         Some(Inputs {
             capacity: usable.capacity,
             room: usable.room,
--- a/crates/pond-job/src/lead/demand.rs
+++ b/crates/pond-job/src/lead/demand.rs
@@ -7,7 +7,9 @@
 use pond_proto::{Millis, Span};
 
 use super::Leader;
+use crate::configuration::QueueKey;
 use crate::job::Job;
+use crate::queue_map::QueueMap;
 use crate::state::State;
 
 /// Time constant of the mean, in milliseconds. Bursts and waves of arrivals last for several
@@ -35,7 +37,7 @@
 /// Offered load by queue.
 #[derive(Debug, Default)]
 pub(super) struct Demand {
-    queues: BTreeMap<String, Arrivals>,
+    queues: QueueMap<Arrivals>,
 }
 
 impl Demand {
@@ -44,7 +46,7 @@
     pub fn record(
         &mut self,
         now: Millis,
-        queue: &str,
+        queue: QueueKey<'_>,
         steps: &[Step],
         takes_ms: impl Fn(&Step) -> Span,
     ) {
@@ -54,11 +56,11 @@
         };
         let work: f64 = steps.iter().map(of_step).sum();
         let before = self.queues.get(queue).map_or(0.0, |arrivals| arrivals.at(now));
-        self.queues.insert(queue.to_owned(), Arrivals { work: before + work, at: now });
+        self.queues.insert(queue, Arrivals { work: before + work, at: now });
     }
 
     /// Returns the offered load of a queue, in thousandths of a processor.
-    pub fn milli_cpu(&self, now: Millis, queue: &str) -> f64 {
+    pub fn milli_cpu(&self, now: Millis, queue: QueueKey<'_>) -> f64 {
         self.queues.get(queue).map_or(0.0, |arrivals| arrivals.at(now) / WINDOW_MS as f64)
     }
 }
@@ -72,7 +74,7 @@
         let mut offered: BTreeMap<(&str, u32), f64> = BTreeMap::new();
         for queue in queues {
             let key = (queue.pool.as_str(), queue.priority);
-            *offered.entry(key).or_default() += self.demand.milli_cpu(now, &queue.name);
+            *offered.entry(key).or_default() += self.demand.milli_cpu(now, queue.key());
         }
         let mut overloaded = BTreeMap::new();
         let mut sum = ("", 0.0);
@@ -91,8 +93,8 @@
     /// load of a job that was rejected before is recorded already.
     pub(super) fn record_demand(&mut self, now: Millis, id: u64, job: &Job) {
         if job.is_short() && !self.admissions.was_rejected(now, id) {
-            let takes_ms = |step: &Step| self.durations.expected_ms(&job.queue, step);
-            self.demand.record(now, &job.queue, &job.spec.steps, takes_ms);
+            let takes_ms = |step: &Step| self.durations.expected_ms(job.queue_key(), step);
+            self.demand.record(now, job.queue_key(), &job.spec.steps, takes_ms);
         }
     }
 }
--- a/crates/pond-job/src/lead/duration.rs
+++ b/crates/pond-job/src/lead/duration.rs
@@ -12,7 +12,10 @@
 use pond_proto::job::{RunName, Step};
 use pond_proto::{Millis, Span};
 
+use crate::configuration::QueueKey;
 use crate::job::{Job, Task};
+use crate::origin::Origin;
+use crate::queue_map::QueueMap;
 use crate::state::State;
 
 /// Weight of the owners' estimates, as a number of steps whose durations matched them exactly. It
@@ -90,9 +93,9 @@
 #[derive(Debug, Default)]
 pub(super) struct Durations {
     /// Regressions by queue.
-    lines: BTreeMap<String, Line>,
+    lines: QueueMap<Line>,
     /// Work of jobs, by queue.
-    jobs: BTreeMap<String, Mean>,
+    jobs: QueueMap<Mean>,
     /// First runs of tasks that were assigned to workers.
     started: BTreeMap<RunName, Start>,
 }
@@ -102,7 +105,7 @@
 #[derive(Clone, Debug)]
 struct Start {
     at: Millis,
-    queue: String,
+    origin: Origin,
     estimate_ms: Span,
     /// Number of tasks of the step. They are alike, so all of them together have the weight of a
     /// step with one task.
@@ -120,15 +123,16 @@
         if step.long_running || step.estimate_ms == 0 {
             return;
         }
-        let (queue, estimate_ms) = (job.queue.clone(), step.estimate_ms);
-        self.started.insert(run, Start { at: now, queue, estimate_ms, tasks: step.tasks.max(1) });
+        let Some(origin) = job.origin.clone() else { return };
+        let (estimate_ms, tasks) = (step.estimate_ms, step.tasks.max(1));
+        self.started.insert(run, Start { at: now, origin, estimate_ms, tasks });
     }
 
     /// Records the end of a run; `done` tells whether it succeeded.
     pub fn record_end(&mut self, now: Millis, run: RunName, done: bool) {
         let Some(started) = self.started.remove(&run).filter(|_| done) else { return };
         let duration = now.since(started.at).max(1) as f64;
-        let line = self.lines.entry(started.queue).or_default();
+        let line = self.lines.entry(started.origin.key());
         line.learn(started.estimate_ms as f64, duration, 1.0 / f64::from(started.tasks));
     }
 
@@ -140,11 +144,11 @@
     /// Records the work of a submitted job, see [`Durations::work`].
     pub fn record_job(&mut self, job: &Job) {
         let work = self.work(job, 0, |_| true);
-        self.jobs.entry(job.queue.clone()).or_default().learn(work);
+        self.jobs.entry(job.queue_key()).learn(work);
     }
 
     /// Returns the mean work of the jobs of a queue; `None` if none was submitted yet.
-    pub fn mean_work(&self, queue: &str) -> Option<f64> {
+    pub fn mean_work(&self, queue: QueueKey<'_>) -> Option<f64> {
         self.jobs.get(queue).map(|mean| mean.sum / mean.weight)
     }
 
@@ -155,13 +159,13 @@
             job.spec.steps.iter().zip(job.repetitions.get(repetition).into_iter().flatten());
         let of_step = |(step, tasks): (&Step, &Vec<Task>)| {
             let count = tasks.iter().filter(|task| counts(task)).count() as f64;
-            count * self.expected_ms(&job.queue, step) as f64 * f64::from(step.milli_cpu)
+            count * self.expected_ms(job.queue_key(), step) as f64 * f64::from(step.milli_cpu)
         };
         steps.map(of_step).sum()
     }
 
     /// Returns the expected duration of a task of a step in that queue, in milliseconds.
-    pub fn expected_ms(&self, queue: &str, step: &Step) -> Span {
+    pub fn expected_ms(&self, queue: QueueKey<'_>, step: &Step) -> Span {
         let line = self.lines.get(queue).filter(|_| step.estimate_ms > 0);
         let expected = line.map(|line| line.expected(step.estimate_ms as f64));
         expected.map_or(step.estimate_ms, |expected| expected as Span)
--- a/crates/pond-job/src/lead/mod.rs
+++ b/crates/pond-job/src/lead/mod.rs
@@ -52,6 +52,7 @@
 use pond_proto::{Millis, Span};
 
 use crate::change::{Change, Reply};
+use crate::configuration::QueueKey;
 use crate::estimates::Estimates;
 use crate::state::State;
 
@@ -344,7 +345,7 @@
     /// a worker counts as queued until the worker lists it, since another task may have taken the
     /// worker down at that moment. On a worker that has not reported to this leader it counts as
     /// started, as most have.
-    pub fn waiting(&self, state: &State, queue: &str) -> u64 {
+    pub fn waiting(&self, state: &State, queue: QueueKey<'_>) -> u64 {
         state.waiting_jobs(queue, |run, incarnation| {
             self.workers.get(incarnation).is_none_or(|worker| worker.has_listed(run))
         })
--- a/crates/pond-job/src/lead/ready/mod.rs
+++ b/crates/pond-job/src/lead/ready/mod.rs
@@ -96,7 +96,7 @@
                     let serving = interference.new_serving(now, step);
                     let image = interference.image(&step.image);
                     let wanted = if urgency.yields() && short {
-                        let task_ms = durations.expected_ms(&job.queue, step);
+                        let task_ms = durations.expected_ms(job.queue_key(), step);
                         wanted_milli_cpu(state, now, demand, job, task_ms)
                     } else {
                         0
--- a/crates/pond-job/src/lead/ready/urgency.rs
+++ b/crates/pond-job/src/lead/ready/urgency.rs
@@ -129,9 +129,8 @@
     wall: Millis,
 ) -> (Prospect, Millis) {
     let due = job.due(repetition);
-    let takes_ms = |step: &Step| durations.expected_ms(&job.queue, step);
-    let mut queues = state.configuration().into_iter().flat_map(|held| &held.queues);
-    let queue = queues.find(|queue| queue.name == job.queue);
+    let takes_ms = |step: &Step| durations.expected_ms(job.queue_key(), step);
+    let queue = state.queue_of(job);
     // Users extend the target by runs that fail through no fault of a worker.
     let chain_ms = critical_path_ms(&job.spec.steps, |index, step| {
         takes_ms(step) * (1 + most_failures(job, repetition, index))
@@ -174,7 +173,7 @@
 fn remaining_share(durations: &Durations, job: &Job, repetition: usize) -> u64 {
     let total = durations.work(job, repetition, |_| true);
     let remaining = durations.work(job, repetition, |task| !task.done);
-    let mean = durations.mean_work(&job.queue).unwrap_or(total);
+    let mean = durations.mean_work(job.queue_key()).unwrap_or(total);
     let value = FIXED_VALUE_SHARE * mean + (1.0 - FIXED_VALUE_SHARE) * total;
     ((remaining * 100.0 / value.max(1.0)) as u64).min(MAX_REMAINING_PERCENT)
 }
--- a/crates/pond-job/src/lead/ready/wanted.rs
+++ b/crates/pond-job/src/lead/ready/wanted.rs
@@ -28,7 +28,7 @@
 ) -> u64 {
     let queues = state.configuration().into_iter().flat_map(|held| &held.queues);
     let competing = queues.filter(|queue| queue.pool == job.pool && queue.priority <= job.priority);
-    let offered: f64 = competing.map(|queue| demand.milli_cpu(now, &queue.name)).sum();
+    let offered: f64 = competing.map(|queue| demand.milli_cpu(now, queue.key())).sum();
     (offered * task_ms.min(MAX_COUNTED_MS) as f64 / ARRIVAL_MS) as u64
 }
 
--- a/crates/pond-job/src/lead/share/mod.rs
+++ b/crates/pond-job/src/lead/share/mod.rs
@@ -147,7 +147,7 @@
     fn offered_milli_cpu(&self, state: &State, now: Millis, pool: &str, priority: u32) -> f64 {
         let queues = state.configuration().into_iter().flat_map(|active| &active.queues);
         let urgent = queues.filter(|queue| queue.pool == pool && queue.priority <= priority);
-        urgent.map(|queue| self.demand.milli_cpu(now, &queue.name)).sum()
+        urgent.map(|queue| self.demand.milli_cpu(now, queue.key())).sum()
     }
 }
 
--- a/crates/pond-job/src/lead/speed/mod.rs
+++ b/crates/pond-job/src/lead/speed/mod.rs
@@ -133,7 +133,8 @@
     /// speed. The tasks of a gang wait for each other.
     fn evident_ms(&self, state: &State, run: RunName) -> Option<Span> {
         let (job, step) = (state.job(run.task.job)?, state.step(run.task)?);
-        (depends_on_speed(step) && !step.gang).then(|| self.durations.expected_ms(&job.queue, step))
+        (depends_on_speed(step) && !step.gang)
+            .then(|| self.durations.expected_ms(job.queue_key(), step))
     }
 
     /// Records the start of a run that was committed.
--- a/crates/pond-job/src/lib.rs
+++ b/crates/pond-job/src/lib.rs
@@ -10,6 +10,7 @@
 mod job;
 mod lead;
 mod origin;
+mod queue_map;
 mod state;
 mod suspicion;
 
--- a/crates/pond-job/src/state/mod.rs
+++ b/crates/pond-job/src/state/mod.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::change::{Change, End, Reply};
-use crate::configuration::{Configuration, Queue};
+use crate::configuration::{Configuration, Queue, QueueKey};
 use crate::estimates::Estimates;
 use crate::evidence::Evidence;
 use crate::job::{Job, Task};
@@ -180,9 +180,10 @@
 
     /// Counts the jobs of a queue of which no task has begun; `begun` returns whether a run has begun on the worker
     /// incarnation that it is placed on. Repeated jobs do not count.
-    pub fn waiting_jobs(&self, queue: &str, begun: impl Fn(RunName, &str) -> bool) -> u64 {
+    pub fn waiting_jobs(&self, queue: QueueKey<'_>, begun: impl Fn(RunName, &str) -> bool) -> u64 {
         let waits = |(id, job): &(u64, &Job)| {
-            let counts = job.queue == queue && !job.phase.ended() && job.spec.repeat.is_none();
+            let counts =
+                job.queue_key() == queue && !job.phase.ended() && job.spec.repeat.is_none();
             counts && !job.begun && !job.placements(*id).any(|(run, worker)| begun(run, worker))
         };
         self.active().filter(waits).count() as u64
--- a/crates/pond-job/tests/state.rs
+++ b/crates/pond-job/tests/state.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use pond_job::{Change, End, Reply, Start, State};
+use pond_job::{Change, End, QueueKey, Reply, Start, State};
 use pond_proto::Millis;
 use pond_proto::job::{EndReason, Phase, RunName, Spec, Step};
 use support::{HOST, PATH, configuration, spec, step, task};
@@ -209,7 +209,8 @@
 #[test]
 fn waiting_jobs_are_counted_until_their_first_start() {
     let mut state = state(vec![step(1, 100)]);
-    let waiting = |state: &State| state.waiting_jobs("quick", |_, _| true);
+    let waiting =
+        |state: &State| state.waiting_jobs(QueueKey { host: HOST, prefix: PATH }, |_, _| true);
     assert_eq!(waiting(&state), 1);
     start(&mut state, run(0, 0, 1), "a");
     assert_eq!(waiting(&state), 0);
--- a/crates/pond-replica/src/callers.rs
+++ b/crates/pond-replica/src/callers.rs
@@ -78,7 +78,7 @@
         let configuration = self.state.configuration();
         let queue = configuration.and_then(|active| active.queue_for(&target.host, &target.path));
         let waiting =
-            |leader: &Leader| queue.map_or(0, |queue| leader.waiting(&self.state, &queue.name));
+            |leader: &Leader| queue.map_or(0, |queue| leader.waiting(&self.state, queue.key()));
         self.leader.as_ref().map_or(0, waiting)
     }
 
