Jobs of earlier versions keep their fields where names are not unique

If two queues have that name, the job was assigned to the first one, which may have another pool. It now keeps its fields until it has ended. The test fails without the change and passes with it.

--- a/crates/pond-job/src/job.rs
+++ b/crates/pond-job/src/job.rs
@@ -45,7 +45,7 @@
     #[serde(default)]
     pub begun: bool,
     /// Where the job was submitted; `None` once the job has ended and nothing of it runs, or if an earlier version
-    /// accepted it and no queue has the name of its queue. (Snapshots hold it after the state.)
+    /// accepted it and not just one queue has the name of its queue. (Snapshots hold it after the state.)
     #[serde(skip)]
     pub origin: Option<Origin>,
 }
--- a/crates/pond-job/src/state/queues.rs
+++ b/crates/pond-job/src/state/queues.rs
@@ -78,7 +78,7 @@
         self.update_phase(id)
     }
 
-    /// Derives the origins of jobs that lack one from the names of their queues.
+    /// Derives the origins of jobs that lack one from the names of their queues, where these are unique.
     pub(super) fn infer_origins(&mut self) {
         let Some(configuration) = &self.configuration else { return };
         let mut inferred = false;
@@ -86,7 +86,9 @@
             let Some(job) = self.jobs.get_mut(id).filter(|job| job.origin.is_none()) else {
                 continue;
             };
-            let Some(queue) = configuration.queue(&job.queue) else { continue };
+            let mut named = configuration.queues.iter().filter(|queue| queue.name == job.queue);
+            // Of several queues with one name, none is certain to be that of the job.
+            let (Some(queue), None) = (named.next(), named.next()) else { continue };
             job.origin = Some(Origin::new(&queue.host, &queue.prefix, queue));
             inferred = true;
         }
--- a/crates/pond-job/tests/reconfigured.rs
+++ b/crates/pond-job/tests/reconfigured.rs
@@ -284,6 +284,20 @@
     assert_eq!(stale.job(1).unwrap().pool, NEW);
 }
 
+/// Guards against a job that is assigned to another queue with the name of its own.
+#[test]
+fn job_of_an_earlier_version_keeps_its_fields_if_several_queues_have_the_name() {
+    let mut harness = pools(500);
+    harness.submit(1, vec![step(1, 500)]);
+    let mut same = moved(2);
+    same.queues[1].name = same.queues[0].name.clone();
+    harness.apply(Change::Configure(same));
+    let mut earlier = State::decode(&earlier_snapshot(&harness.state)).unwrap();
+    assert_eq!(earlier.job(1).unwrap().pool, NEW);
+    earlier.apply(Change::Configure(configuration(3)));
+    assert_eq!(earlier.job(1).unwrap().pool, NEW);
+}
+
 fn position_of_last(bytes: &[u8], part: &[u8]) -> usize {
     bytes.windows(part.len()).rposition(|window| window == part).expect("it contains the part")
 }
