--- a/crates/pond-job/tests/cancelled_early.rs
+++ b/crates/pond-job/tests/cancelled_early.rs
@@ -28,6 +28,7 @@
     harness.advance(timing().retention_ms / 1_000 + 1, &["a"]);
 }
 
+/// Guards against a job that runs after its cancellation was confirmed, because it reached control later.
 #[test]
 fn job_that_was_cancelled_before_it_was_submitted_runs_nothing() {
     let mut harness = cancelled();
@@ -43,6 +44,7 @@
     assert_eq!(harness.phase(1), None);
 }
 
+/// Guards against cancellations that are lost with a snapshot, and against snapshots that earlier versions cannot read.
 #[test]
 fn cancelled_ids_outlast_snapshots() {
     let harness = cancelled();
@@ -80,6 +82,7 @@
     assert!(!harness.state.is_cancelled(1));
 }
 
+/// Guards against cancellations of unknown ids that fill the memory, or that keep jobs from being cancelled.
 #[test]
 fn number_of_cancelled_ids_is_bounded() {
     let mut state = State::new();
